--- /dev/null
+++ b/almondwind/cli/main.cc
@@ -0,0 +1,66 @@
+// The one binary: `almondwind node`, `check`, `explain`, `status`, `load`,
+// `reference` and `version`.
+
+#include <pplx/threadpool.h>
+
+#include <CLI/CLI.hpp>
+#include <iostream>
+
+#include "almondwind/cli/commands.h"
+#include "almondwind/load/load.h"
+#include "almondwind/node/process.h"
+#include "almondwind/node/settings.h"
+#include "almondwind/teams/knob.h"
+
+namespace {
+
+constexpr const char* kVersion = "0.1.0";
+constexpr int kLibraryThreads = 2;  // of cpprestsdk, which would start 40
+constexpr int kExitFault = 2;
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using almondwind::cli::AddCommands;
+  CLI::App app("almondwind: overload control for service call graphs");
+  app.require_subcommand(1);
+  app.footer(
+      "Exit codes: 0 done, 1 the run or stop was not whole, 2 a fault in the "
+      "arguments or settings.\n"
+      "Examples:\n"
+      "  almondwind node --settings /etc/almondwind/node.toml\n"
+      "  almondwind check --settings node.toml --policies policies/\n"
+      "  almondwind load --mix mixes/addis.toml --seconds 15");
+  int code = 0;
+
+  std::string settings;
+  auto* node = app.add_subcommand("node", "run the node of this host");
+  node->add_option("--settings", settings, "settings file (TOML)")->required();
+  node->callback([&] {
+    crossplat::threadpool::initialize_with_threads(kLibraryThreads);
+    code =
+        almondwind::node::RunNode(almondwind::node::ReadSettingsFile(settings));
+  });
+
+  almondwind::load::LoadOptions load;
+  auto* load_app = app.add_subcommand("load", "offer a mix of requests");
+  almondwind::load::AddOptions(*load_app, load);
+  load_app->callback([&] { code = almondwind::load::RunLoad(load); });
+
+  AddCommands(app, code);
+
+  app.add_subcommand("version", "print the version")->callback([] {
+    std::cout << "almondwind " << kVersion << "\n";
+  });
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    int result = app.exit(e);
+    return result == 0 ? 0 : kExitFault;
+  } catch (const std::exception& e) {
+    std::cerr << "almondwind: " << e.what() << "\n";
+    return kExitFault;
+  }
+  return code;
+}
--- /dev/null
+++ b/almondwind/links/http_client.cc
@@ -0,0 +1,204 @@
+#include "almondwind/links/http_client.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace almondwind::links {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace net = boost::asio;
+using beast::error_code;
+
+// One connection; it carries one exchange at a time.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+ public:
+  HttpConnection(HttpClient& client, const HttpClient::Endpoint& endpoint)
+      : client_(client),
+        endpoint_(endpoint),
+        stream_(net::make_strand(client.io_)) {
+    ++client_.open_;
+  }
+  ~HttpConnection() { --client_.open_; }
+
+  const HttpClient::Endpoint& endpoint() const { return endpoint_; }
+
+  void Run(HttpRequest request, HttpHandler handler, uint64_t number);
+  void Cancel(uint64_t number);
+  // Whether the server has not closed this idle connection.
+  bool Alive();
+  uint64_t NextNumber() { return ++number_; }
+
+ private:
+  void Connect();
+  void Write();
+  void Read();
+  void OnAnswer();
+  void End(HttpEndKind kind);
+
+  HttpClient& client_;
+  const HttpClient::Endpoint endpoint_;
+  beast::tcp_stream stream_;
+  bool connected_ = false;
+  std::atomic<uint64_t> number_{0};  // of the latest exchange
+  uint64_t cancelled_ = 0;  // latest exchange cancelled; guarded by the strand
+  uint64_t running_ = 0;    // exchange in progress; guarded by the strand
+  HttpRequest request_;
+  HttpHandler handler_;
+  beast::flat_buffer buffer_;
+  std::optional<http::response_parser<http::string_body>> parser_;
+};
+
+namespace {
+
+class Exchange : public HttpExchange {
+ public:
+  Exchange(std::shared_ptr<HttpConnection> connection, uint64_t number)
+      : connection_(std::move(connection)), number_(number) {}
+  void Cancel() override { connection_->Cancel(number_); }
+
+ private:
+  std::shared_ptr<HttpConnection> connection_;
+  uint64_t number_;
+};
+
+class NoExchange : public HttpExchange {
+ public:
+  void Cancel() override {}
+};
+
+}  // namespace
+
+void HttpConnection::Run(HttpRequest request, HttpHandler handler,
+                         uint64_t number) {
+  auto self = shared_from_this();
+  net::post(stream_.get_executor(), [self, number, request = std::move(request),
+                                     handler = std::move(handler)]() mutable {
+    if (self->cancelled_ >= number) return;
+    self->running_ = number;
+    self->request_ = std::move(request);
+    self->handler_ = std::move(handler);
+    self->connected_ ? self->Write() : self->Connect();
+  });
+}
+
+void HttpConnection::Connect() {
+  auto self = shared_from_this();
+  stream_.async_connect(endpoint_, [self](error_code ec) {
+    if (ec) return self->End(HttpEndKind::kUnreachable);
+    self->connected_ = true;
+    self->stream_.socket().set_option(net::ip::tcp::no_delay(true), ec);
+    self->Write();
+  });
+}
+
+void HttpConnection::Write() {
+  auto self = shared_from_this();
+  http::async_write(stream_, request_, [self](error_code ec, size_t) {
+    // Some of it may have arrived, so this is no proof that it did not run.
+    if (ec) return self->End(HttpEndKind::kClosed);
+    self->Read();
+  });
+}
+
+void HttpConnection::Read() {
+  auto self = shared_from_this();
+  parser_.emplace();
+  parser_->body_limit(client_.options_.answer_bytes);
+  if (request_.method() == http::verb::head) parser_->skip(true);
+  http::async_read(stream_, buffer_, *parser_, [self](error_code ec, size_t) {
+    if (ec == http::error::body_limit) {
+      return self->End(HttpEndKind::kTooLarge);
+    }
+    if (ec) return self->End(HttpEndKind::kClosed);
+    self->OnAnswer();
+  });
+}
+
+void HttpConnection::OnAnswer() {
+  HttpEnd end;
+  end.kind = HttpEndKind::kAnswer;
+  bool keep = parser_->get().keep_alive();
+  end.response = parser_->release();
+  parser_.reset();
+  running_ = 0;
+  HttpHandler handler = std::move(handler_);
+  // Given back first, so that the exchange that this end starts finds it.
+  if (keep) client_.GiveBack(shared_from_this());
+  handler(std::move(end));
+}
+
+void HttpConnection::End(HttpEndKind kind) {
+  error_code ignored;
+  stream_.socket().close(ignored);
+  if (running_ == 0 || cancelled_ >= running_) return;
+  running_ = 0;
+  HttpHandler handler = std::move(handler_);
+  HttpEnd end;
+  end.kind = kind;
+  handler(std::move(end));
+}
+
+void HttpConnection::Cancel(uint64_t number) {
+  auto self = shared_from_this();
+  net::post(stream_.get_executor(), [self, number] {
+    // An exchange that is over has nothing to cancel; the connection may
+    // already serve another.
+    if (self->number_ != number) return;
+    self->cancelled_ = number;
+    if (self->running_ != number) return;
+    self->running_ = 0;
+    self->handler_ = nullptr;
+    error_code ignored;
+    self->stream_.socket().close(ignored);
+  });
+}
+
+bool HttpConnection::Alive() {
+  char byte = 0;
+  ssize_t got = ::recv(stream_.socket().native_handle(), &byte, 1,
+                       MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+HttpClient::ConnectionPtr HttpClient::Take(const Endpoint& endpoint) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  std::vector<ConnectionPtr>& idle = idle_[endpoint];
+  while (!idle.empty()) {
+    ConnectionPtr connection = std::move(idle.back());
+    idle.pop_back();
+    if (connection->Alive()) return connection;
+  }
+  if (open_ >= options_.connections) return nullptr;
+  return std::make_shared<HttpConnection>(*this, endpoint);
+}
+
+void HttpClient::GiveBack(const ConnectionPtr& connection) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  idle_[connection->endpoint()].push_back(connection);
+}
+
+std::shared_ptr<HttpExchange> HttpClient::Send(const Endpoint& endpoint,
+                                               HttpRequest request,
+                                               HttpHandler handler) {
+  request.prepare_payload();
+  ConnectionPtr connection = Take(endpoint);
+  if (connection == nullptr) {
+    net::post(io_, [handler = std::move(handler)] {
+      HttpEnd end;
+      end.kind = HttpEndKind::kUnreachable;
+      handler(std::move(end));
+    });
+    return std::make_shared<NoExchange>();
+  }
+  uint64_t number = connection->NextNumber();
+  connection->Run(std::move(request), std::move(handler), number);
+  return std::make_shared<Exchange>(std::move(connection), number);
+}
+
+}  // namespace almondwind::links
--- /dev/null
+++ b/almondwind/links/mesh.cc
@@ -0,0 +1,216 @@
+#include "almondwind/links/mesh.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <vector>
+
+#include "almondwind/links/connection.h"
+#include "almondwind/node/node.h"
+
+namespace almondwind::links {
+
+namespace net = boost::asio;
+using boost::system::error_code;
+using node::LinkState;
+using Lock = std::lock_guard<std::mutex>;
+
+net::ip::tcp::endpoint ParseEndpoint(const std::string& address) {
+  size_t colon = address.rfind(':');
+  error_code ec;
+  auto ip = net::ip::make_address(address.substr(0, colon), ec);
+  int port = 0;
+  if (!ec && colon != std::string::npos) {
+    port = std::atoi(address.c_str() + colon + 1);
+  }
+  if (port <= 0 || port > 65535) {
+    throw base::Error(base::Reason::kMalformed,
+                      "\"" + address + "\" is no IP:PORT");
+  }
+  return {ip, static_cast<uint16_t>(port)};
+}
+
+Mesh::Mesh(net::io_context& io, MeshOptions options, const base::Clock& clock)
+    : io_(io), options_(std::move(options)), clock_(clock), acceptor_(io) {}
+
+Mesh::~Mesh() = default;
+
+void Mesh::Listen() {
+  net::ip::tcp::endpoint endpoint = ParseEndpoint(options_.listen);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(net::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen();
+  Accept();
+}
+
+void Mesh::Accept() {
+  acceptor_.async_accept(
+      net::make_strand(io_), [this](error_code ec, net::ip::tcp::socket s) {
+        if (ec == net::error::operation_aborted) return;
+        if (!ec) {
+          s.set_option(net::ip::tcp::no_delay(true), ec);
+          std::make_shared<Connection>(*this, std::move(s))->Read();
+        }
+        Accept();
+      });
+}
+
+LinkState Mesh::Prepare(const zones::HostEntry& host) {
+  Lock lock(mutex_);
+  Dial& dial = dials_[host.name];
+  bool moved = dial.address != host.link;
+  if (dial.state != LinkState::kDown && !moved) return dial.state;
+  base::Millis now = clock_.Now();
+  if (!moved && now < dial.next_try) return LinkState::kDown;
+  if (moved && dial.connection != nullptr) dial.connection->Close();
+  dial.address = host.link;
+  dial.state = LinkState::kDialling;
+  dial.next_try = now + options_.redial;
+  dial.connection = nullptr;
+  std::string name = host.name;
+  std::string address = host.link;
+  net::post(io_, [this, name, address] { Connect(name, address); });
+  return LinkState::kDialling;
+}
+
+void Mesh::Connect(const std::string& host, const std::string& address) {
+  net::ip::tcp::endpoint endpoint;
+  try {
+    endpoint = ParseEndpoint(address);
+  } catch (const base::Error&) {
+    Lock lock(mutex_);
+    dials_[host].state = LinkState::kDown;
+    return;
+  }
+  auto connection = std::make_shared<Connection>(
+      *this, net::ip::tcp::socket(net::make_strand(io_)));
+  connection->host = host;
+  Hello hello;
+  hello.host = options_.host;
+  hello.zone = options_.zone;
+  hello.sent_at_ms = clock_.Now().count();
+  {
+    Lock lock(mutex_);
+    dials_[host].connection = connection;
+  }
+  connection->Dial(endpoint, hello);
+}
+
+bool Mesh::Send(const std::string& host, const Message& message) {
+  std::shared_ptr<Connection> connection;
+  {
+    Lock lock(mutex_);
+    auto it = dials_.find(host);
+    if (it == dials_.end() || it->second.state != LinkState::kUp) return false;
+    connection = it->second.connection;
+  }
+  return connection->Write(Encode(message));
+}
+
+void Mesh::Reply(uint64_t session, const Message& message) {
+  std::shared_ptr<Connection> connection;
+  {
+    Lock lock(mutex_);
+    auto it = sessions_.find(session);
+    if (it == sessions_.end()) return;
+    connection = it->second;
+  }
+  connection->Write(Encode(message));
+}
+
+void Mesh::OnFrame(const std::shared_ptr<Connection>& connection,
+                   const Message& message) {
+  bool dialled = !connection->host.empty();
+  if (dialled) {
+    if (const auto* welcome = std::get_if<Welcome>(&message)) {
+      return OnWelcome(connection, *welcome);
+    }
+    return node_->OnGateMessage(connection->host, message);
+  }
+  if (const auto* hello = std::get_if<Hello>(&message)) {
+    return OnHello(connection, *hello);
+  }
+  // A call says the session that its sender was given; a frame of another
+  // one did not come from the peer that said Hello here.
+  uint64_t session = 0;
+  if (const auto* call = std::get_if<Call>(&message)) session = call->session;
+  if (const auto* cancel = std::get_if<Cancel>(&message)) {
+    session = cancel->session;
+  }
+  if (session == 0 || session != connection->session) {
+    throw base::Error(base::Reason::kMalformed, "frame of another session");
+  }
+  node_->OnRouterMessage(message);
+}
+
+void Mesh::OnWelcome(const std::shared_ptr<Connection>& connection,
+                     const Welcome& welcome) {
+  if (welcome.host != connection->host) {
+    throw base::Error(base::Reason::kMalformed, "another host answered");
+  }
+  {
+    Lock lock(mutex_);
+    Dial& dial = dials_[connection->host];
+    if (dial.connection != connection) return;
+    dial.state = LinkState::kUp;
+  }
+  node_->OnLinkUp(welcome);
+}
+
+void Mesh::OnHello(const std::shared_ptr<Connection>& connection,
+                   const Hello& hello) {
+  if (hello.protocol != kProtocolVersion || connection->session != 0) {
+    throw base::Error(base::Reason::kMalformed, "link of another protocol");
+  }
+  uint64_t session = node_->OpenSession(hello);
+  if (session == 0) throw base::Error(base::Reason::kTooManyCalls, "sessions");
+  connection->session = session;
+  {
+    Lock lock(mutex_);
+    sessions_[session] = connection;
+  }
+  Welcome welcome;
+  welcome.host = options_.host;
+  welcome.incarnation = node_->incarnation();
+  welcome.session = session;
+  connection->Write(Encode(welcome));
+}
+
+void Mesh::OnClosed(const std::shared_ptr<Connection>& connection) {
+  if (connection->host.empty()) {
+    if (connection->session == 0) return;
+    {
+      Lock lock(mutex_);
+      sessions_.erase(connection->session);
+    }
+    return node_->CloseSession(connection->session);
+  }
+  bool current = false;
+  {
+    Lock lock(mutex_);
+    Dial& dial = dials_[connection->host];
+    current = dial.connection == connection;
+    if (current) {
+      dial.state = LinkState::kDown;
+      dial.connection = nullptr;
+      dial.next_try = clock_.Now() + options_.redial;
+    }
+  }
+  if (current) node_->OnLinkDown(connection->host);
+}
+
+void Mesh::Close() {
+  error_code ignored;
+  acceptor_.close(ignored);
+  std::vector<std::shared_ptr<Connection>> open;
+  {
+    Lock lock(mutex_);
+    for (auto& [host, dial] : dials_) {
+      if (dial.connection != nullptr) open.push_back(dial.connection);
+    }
+    for (auto& [session, connection] : sessions_) open.push_back(connection);
+  }
+  for (const auto& connection : open) connection->Close();
+}
+
+}  // namespace almondwind::links
--- /dev/null
+++ b/almondwind/links/mesh.h
@@ -0,0 +1,96 @@
+// The links of one node over TCP: those it dials and those dialled to it.
+//
+//   Mesh mesh(io, options);
+//   mesh.Serve(node);        // before any other call
+//   mesh.Listen();           // throws std::system_error if the port is taken
+//
+// A link is one connection. Frames are written whole and in order; a frame
+// over Options::frame_bytes, or one that cannot be decoded, closes the link.
+// What waits to be written is bounded by Options::queue_bytes; at the bound
+// the link is closed, since its peer does not keep up.
+//
+// Threads: one mutex for the tables, one in each connection; order: tables,
+// then connection. Neither is held while the node is called. The node calls
+// in with its own lock held, so nothing here calls back into it directly:
+// events are posted to the workers.
+#ifndef ALMONDWIND_LINKS_MESH_H_
+#define ALMONDWIND_LINKS_MESH_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <unordered_map>
+
+#include "almondwind/base/clock.h"
+#include "almondwind/node/shell.h"
+
+namespace almondwind::node {
+class Node;
+}  // namespace almondwind::node
+
+namespace almondwind::links {
+
+struct MeshOptions {
+  std::string host;
+  std::string zone;
+  std::string listen;  // "ip:port"
+  size_t frame_bytes = 8u << 20;
+  size_t queue_bytes = 32u << 20;
+  base::Millis redial{200};  // after a link broke or could not be made
+  base::Millis handshake{2000};
+};
+
+class Connection;
+
+class Mesh : public node::Links {
+ public:
+  Mesh(boost::asio::io_context& io, MeshOptions options,
+       const base::Clock& clock);
+  ~Mesh() override;
+
+  void Serve(node::Node& node) { node_ = &node; }
+  void Listen();
+  // Closes the listener and all links.
+  void Close();
+
+  node::LinkState Prepare(const zones::HostEntry& host) override;
+  bool Send(const std::string& host, const Message& message) override;
+  void Reply(uint64_t session, const Message& message) override;
+
+ private:
+  friend class Connection;
+  struct Dial {
+    node::LinkState state = node::LinkState::kDown;
+    std::string address;
+    std::shared_ptr<Connection> connection;
+    base::Millis next_try{0};
+  };
+
+  void Accept();
+  void Connect(const std::string& host, const std::string& address);
+  void OnFrame(const std::shared_ptr<Connection>& connection,
+               const Message& message);
+  void OnClosed(const std::shared_ptr<Connection>& connection);
+  void OnWelcome(const std::shared_ptr<Connection>& connection,
+                 const Welcome& welcome);
+  void OnHello(const std::shared_ptr<Connection>& connection,
+               const Hello& hello);
+
+  boost::asio::io_context& io_;
+  const MeshOptions options_;
+  const base::Clock& clock_;
+  node::Node* node_ = nullptr;
+  boost::asio::ip::tcp::acceptor acceptor_;
+  std::mutex mutex_;  // guards the two tables
+  std::unordered_map<std::string, Dial> dials_;
+  std::unordered_map<uint64_t, std::shared_ptr<Connection>> sessions_;
+};
+
+// Returns the endpoint of "ip:port". Throws base::Error(kMalformed).
+boost::asio::ip::tcp::endpoint ParseEndpoint(const std::string& address);
+
+}  // namespace almondwind::links
+
+#endif  // ALMONDWIND_LINKS_MESH_H_
--- /dev/null
+++ b/almondwind/load/load.cc
@@ -0,0 +1,403 @@
+#include "almondwind/load/load.h"
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/http.hpp>
+#include <chrono>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <vector>
+
+#include "almondwind/links/http_client.h"
+#include "almondwind/links/mesh.h"
+#include "almondwind/load/mix.h"
+#include "almondwind/load/report.h"
+#include "almondwind/node/settings.h"
+
+namespace almondwind::load {
+
+namespace http = boost::beast::http;
+namespace net = boost::asio;
+using base::Outcome;
+using boost::system::error_code;
+using links::HttpClient;
+using links::HttpEnd;
+using links::HttpEndKind;
+using SteadyClock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr std::chrono::milliseconds kArrivalStep{2};
+constexpr std::chrono::seconds kDrain{4};  // after the last arrival
+constexpr int kTimeoutSlackMs = 300;
+constexpr int kMaxConnections = 12'000;
+
+// Where requests go.
+struct Entries {
+  std::vector<HttpClient::Endpoint> all;
+  std::map<std::string, std::vector<HttpClient::Endpoint>> upstreams;
+};
+
+Entries ReadEntries(const std::string& folder) {
+  Entries entries;
+  for (const auto& file : std::filesystem::directory_iterator(folder)) {
+    if (file.path().extension() != ".toml") continue;
+    node::Settings s = node::ReadSettingsFile(file.path().string());
+    entries.all.push_back(links::ParseEndpoint(s.callers));
+    entries.upstreams[s.service].push_back(links::ParseEndpoint(s.upstream));
+  }
+  return entries;
+}
+
+class Runner;
+
+// One user request, over all repeats of its caller.
+class User : public std::enable_shared_from_this<User> {
+ public:
+  User(Runner& runner, const RequestKind& kind, uint64_t number)
+      : runner_(runner),
+        kind_(kind),
+        token_("u" + std::to_string(number)),
+        timer_(IoOf(runner)) {}
+
+  void Begin();
+
+ private:
+  static net::io_context& IoOf(Runner& runner);
+  void Try();
+  links::HttpRequest MakeRequest();
+  void OnEnd(int attempt, HttpEnd end);
+  void OnResponse(const links::HttpResponse& response);
+  void Check(const links::HttpResponse& response);
+  void Again(Outcome so_far, bool at_once);
+  void Finish(Outcome outcome);
+  std::string ServiceName() const;
+
+  Runner& runner_;
+  const RequestKind& kind_;
+  const std::string token_;
+  std::string contract_;
+  double started_s_ = 0;
+  double sent_s_ = 0;
+  int attempt_ = 0;
+  int repeats_ = 0;
+  bool maybe_ran_ = false;
+  bool done_ = false;
+  net::steady_timer timer_;
+  std::shared_ptr<links::HttpExchange> exchange_;
+};
+
+class Runner {
+ public:
+  Runner(const LoadOptions& options, Mix mix)
+      : options_(options),
+        mix_(std::move(mix)),
+        client_(io_, links::HttpClientOptions{kMaxConnections, 32u << 20}),
+        report_(mix_.seconds),
+        random_(options.seed),
+        arrivals_(io_) {}
+
+  Report& Run();
+
+  net::io_context& io() { return io_; }
+  const Mix& mix() const { return mix_; }
+  const LoadOptions& options() const { return options_; }
+  HttpClient& client() { return client_; }
+  Report& report() { return report_; }
+  double Now() const {
+    return std::chrono::duration<double>(SteadyClock::now() - began_).count();
+  }
+  HttpClient::Endpoint EntryFor(const RequestKind& kind);
+  void AttemptFailed(const std::string& id) { failed_.insert(id); }
+  void ToldNotRun(const std::string& token) { told_not_run_.insert(token); }
+  void UserEnded() { --open_; }
+
+ private:
+  void Arrive();
+  const RequestKind& AnyKind();
+  void PlayFaults();
+  void AskAdmin(const std::string& target,
+                std::function<void(const std::string&)> use);
+  void Conclude();
+
+  const LoadOptions options_;
+  const Mix mix_;
+  net::io_context io_{1};
+  HttpClient client_;
+  Report report_;
+  std::mt19937_64 random_;
+  net::steady_timer arrivals_;
+  Entries entries_;
+  SteadyClock::time_point began_;
+  double arrived_until_s_ = 0;
+  double progress_s_ = 1;
+  uint64_t next_user_ = 1;
+  int64_t open_ = 0;
+  size_t next_fault_ = 0;
+  std::set<std::string> failed_;        // request ids of attempts
+  std::set<std::string> told_not_run_;  // tokens of orders
+};
+
+std::string ServiceOf(const std::string& target) {
+  size_t name_end = target.find('/', target.find('/', 1) + 1);
+  return target.substr(1, name_end - 1);
+}
+
+net::io_context& User::IoOf(Runner& runner) { return runner.io(); }
+
+std::string User::ServiceName() const {
+  std::string service = ServiceOf(kind_.target);
+  return service.substr(service.find('/') + 1);
+}
+
+void User::Begin() {
+  started_s_ = runner_.Now();
+  runner_.report().Offered(started_s_);
+  Try();
+}
+
+links::HttpRequest User::MakeRequest() {
+  std::string target = kind_.target;
+  if (runner_.options().direct) {
+    target = target.substr(ServiceOf(target).size() + 1);
+  }
+  if (kind_.method == "GET") target += "?t=" + token_;
+  links::HttpRequest request{http::string_to_verb(kind_.method), target, 11};
+  request.set(http::field::host, "almondwind");
+  request.set("X-Request-Id", token_ + "." + std::to_string(attempt_));
+  request.set("X-Request-Timeout-Ms", std::to_string(kind_.timeout_ms));
+  if (!contract_.empty()) request.set("Idempotency-Key", contract_);
+  if (kind_.order && runner_.options().direct) {
+    request.set("Idempotency-Key", token_);
+  }
+  if (kind_.method == "POST") request.body() = token_ + " order";
+  return request;
+}
+
+void User::Try() {
+  int attempt = ++attempt_;
+  sent_s_ = runner_.Now();
+  auto self = shared_from_this();
+  exchange_ = runner_.client().Send(
+      runner_.EntryFor(kind_), MakeRequest(),
+      [self, attempt](HttpEnd end) { self->OnEnd(attempt, std::move(end)); });
+  timer_.expires_after(
+      std::chrono::milliseconds(kind_.timeout_ms + kTimeoutSlackMs));
+  timer_.async_wait([self, attempt](error_code ec) {
+    if (ec || self->attempt_ != attempt) return;
+    self->exchange_->Cancel();
+    self->OnEnd(attempt, HttpEnd());
+  });
+}
+
+void User::OnEnd(int attempt, HttpEnd end) {
+  if (attempt != attempt_ || done_) return;
+  timer_.cancel();
+  bool answered = end.kind == HttpEndKind::kAnswer;
+  if (!answered || end.response.result_int() != 200) {
+    runner_.AttemptFailed(token_ + "." + std::to_string(attempt));
+  }
+  if (answered) return OnResponse(end.response);
+  if (end.kind == HttpEndKind::kUnreachable) {
+    return Again(maybe_ran_ ? Outcome::kUnknown : Outcome::kNotRun, true);
+  }
+  maybe_ran_ = true;
+  Again(Outcome::kUnknown, false);
+}
+
+void User::OnResponse(const links::HttpResponse& response) {
+  if (response.result_int() == 200) {
+    Check(response);
+    return Finish(Outcome::kAnswered);
+  }
+  std::string outcome(response["X-Outcome"]);
+  std::string reason(response["X-Reason"]);
+  bool not_run = outcome == "not_run";
+  if (not_run) {
+    runner_.report().Refused((runner_.Now() - sent_s_) * 1000);
+  }
+  if (reason == "contract_required") {
+    contract_ = std::string(response["X-Contract"]);
+    return Try();
+  }
+  if (not_run && kind_.order) {
+    // The gate's word covers all earlier tries with this contract.
+    contract_.clear();
+    maybe_ran_ = false;
+    return Again(Outcome::kNotRun, false);
+  }
+  if (reason == "contract_unknown") return Finish(Outcome::kUnknown);
+  if (!not_run) maybe_ran_ = true;
+  Again(maybe_ran_ ? Outcome::kUnknown : Outcome::kNotRun, false);
+}
+
+void User::Check(const links::HttpResponse& response) {
+  const std::string& body = response.body();
+  std::string start = ServiceName() + " " + token_ + " ";
+  bool whole = body.compare(0, start.size(), start) == 0 && body.size() > 3 &&
+               body.compare(body.size() - 3, 3, "end") == 0;
+  if (!whole) runner_.report().Broken();
+}
+
+void User::Again(Outcome so_far, bool at_once) {
+  // Callers of today repeat an order that had no answer; under a contract
+  // that is safe, and straight at an upstream it is what doubles orders.
+  if (repeats_ >= runner_.mix().client_retries) return Finish(so_far);
+  ++repeats_;
+  if (at_once) return Try();
+  auto self = shared_from_this();
+  timer_.expires_after(
+      std::chrono::milliseconds(runner_.mix().client_pause_ms));
+  timer_.async_wait([self](error_code ec) {
+    if (!ec) self->Try();
+  });
+}
+
+void User::Finish(Outcome outcome) {
+  done_ = true;
+  Ending ending;
+  ending.started_s = started_s_;
+  ending.ended_s = runner_.Now();
+  ending.cls = kind_.cls;
+  ending.outcome = outcome;
+  ending.repeats = repeats_;
+  runner_.report().Ended(ending);
+  if (outcome == Outcome::kNotRun && kind_.order) runner_.ToldNotRun(token_);
+  runner_.UserEnded();
+}
+
+HttpClient::Endpoint Runner::EntryFor(const RequestKind& kind) {
+  const std::vector<HttpClient::Endpoint>* from = &entries_.all;
+  if (options_.direct) from = &entries_.upstreams.at(ServiceOf(kind.target));
+  std::uniform_int_distribution<size_t> any(0, from->size() - 1);
+  return (*from)[any(random_)];
+}
+
+const RequestKind& Runner::AnyKind() {
+  double total = 0;
+  for (const RequestKind& kind : mix_.kinds) total += kind.weight;
+  double at = std::uniform_real_distribution<double>(0, total)(random_);
+  for (const RequestKind& kind : mix_.kinds) {
+    if (at < kind.weight) return kind;
+    at -= kind.weight;
+  }
+  return mix_.kinds.back();
+}
+
+void Runner::Arrive() {
+  double now = Now();
+  if (now >= mix_.seconds) return;
+  PlayFaults();
+  double span = now - arrived_until_s_;
+  arrived_until_s_ = now;
+  std::poisson_distribution<int> count(mix_.RateAt(now) * span);
+  for (int i = count(random_); i > 0; --i) {
+    ++open_;
+    std::make_shared<User>(*this, AnyKind(), next_user_++)->Begin();
+  }
+  if (now >= progress_s_) {
+    std::cerr << report_.Progress(now) << "\n";
+    progress_s_ += 1;
+  }
+  arrivals_.expires_after(kArrivalStep);
+  arrivals_.async_wait([this](error_code ec) {
+    if (!ec) Arrive();
+  });
+}
+
+void Runner::PlayFaults() {
+  while (next_fault_ < mix_.faults.size() &&
+         mix_.faults[next_fault_].at_s <= Now()) {
+    const Fault& fault = mix_.faults[next_fault_++];
+    std::cerr << "       fault " << fault.target << "\n";
+    AskAdmin(fault.target, [](const std::string&) {});
+  }
+}
+
+void Runner::AskAdmin(const std::string& target,
+                      std::function<void(const std::string&)> use) {
+  if (options_.admin.empty()) return;
+  links::HttpRequest request{http::verb::get, target, 11};
+  client_.Send(
+      links::ParseEndpoint(options_.admin), std::move(request),
+      [use = std::move(use)](HttpEnd end) { use(end.response.body()); });
+}
+
+void Runner::Conclude() {
+  AskAdmin("/orders", [this](const std::string& text) {
+    auto orders = nlohmann::json::parse(text).at("orders");
+    for (const auto& [token, runs] : orders.items()) {
+      if (runs.get<int>() > 1) ++report_.doubled;
+      if (told_not_run_.count(token) != 0) ++report_.untrue_not_run;
+    }
+  });
+  AskAdmin("/work", [this](const std::string& text) {
+    auto work = nlohmann::json::parse(text);
+    for (const auto& [id, ms] : work.items()) {
+      report_.work_ms += ms.get<double>();
+      if (failed_.count(id) != 0) report_.wasted_ms += ms.get<double>();
+    }
+  });
+}
+
+Report& Runner::Run() {
+  entries_ = ReadEntries(options_.nodes);
+  if (entries_.all.empty()) {
+    throw std::runtime_error(options_.nodes +
+                             ": no settings files; remedy: name the folder of "
+                             "the nodes' settings");
+  }
+  began_ = SteadyClock::now();
+  Arrive();
+  auto last = began_ + std::chrono::duration_cast<SteadyClock::duration>(
+                           std::chrono::duration<double>(mix_.seconds));
+  io_.run_until(last);
+  while (open_ > 0 && SteadyClock::now() < last + kDrain) {
+    io_.run_for(std::chrono::milliseconds(10));
+  }
+  Conclude();
+  io_.restart();
+  io_.run_for(std::chrono::milliseconds(500));
+  return report_;
+}
+
+}  // namespace
+
+void AddOptions(CLI::App& app, LoadOptions& options) {
+  app.add_option("--mix", options.mix, "mix file (TOML)")->required();
+  app.add_option("--nodes", options.nodes, "folder of the nodes' settings")
+      ->required();
+  app.add_option("--admin", options.admin, "IP:PORT of the stand-ins' admin");
+  app.add_option("--label", options.label, "start of the last line");
+  app.add_option("--json", options.json, "file for the whole report");
+  app.add_option("--series", options.series, "file for goodput over time");
+  app.add_option("--seconds", options.seconds, "length instead of the mix's");
+  app.add_option("--rate", options.rate, "requests/s instead of the mix's");
+  app.add_option("--seed", options.seed, "seed of arrivals and choices");
+  app.add_flag("--direct", options.direct, "straight to the upstreams");
+}
+
+int RunLoad(const LoadOptions& options) {
+  Mix mix = ReadMix(options.mix);
+  if (options.seconds > 0) mix.seconds = options.seconds;
+  if (options.rate > 0) mix.rate = options.rate;
+  Runner runner(options, mix);
+  Report& report = runner.Run();
+  if (!options.json.empty()) {
+    std::ofstream(options.json) << report.Json().dump(1) << "\n";
+  }
+  if (!options.series.empty()) {
+    std::ofstream(options.series) << report.Series();
+  }
+  std::cout << report.Summary(options.label) << std::flush;
+  return report.good() ? 0 : 1;
+}
+
+}  // namespace almondwind::load
--- /dev/null
+++ b/almondwind/load/report.cc
@@ -0,0 +1,142 @@
+#include "almondwind/load/report.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondwind::load {
+
+using base::Outcome;
+
+double QuantileOf(std::vector<double> values, double q) {
+  if (values.empty()) return 0;
+  auto at = static_cast<size_t>(q * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + static_cast<ptrdiff_t>(at),
+                   values.end());
+  return values[at];
+}
+
+Report::Report(double seconds)
+    : seconds_(seconds),
+      latency_(boost::histogram::make_histogram(Axis(400, 0.05, 60'000))) {}
+
+Report::Bucket& Report::BucketAt(double second) {
+  auto index = static_cast<size_t>(std::max(0.0, second) / kBucketSeconds);
+  if (buckets_.size() <= index) buckets_.resize(index + 1);
+  return buckets_[index];
+}
+
+void Report::Offered(double at_s) {
+  ++offered_;
+  ++BucketAt(at_s).offered;
+}
+
+void Report::Ended(const Ending& ending) {
+  ++counts_.at(base::Index(ending.cls)).at(static_cast<size_t>(ending.outcome));
+  repeats_ += static_cast<uint64_t>(ending.repeats);
+  if (ending.outcome != Outcome::kAnswered) return;
+  double ms = (ending.ended_s - ending.started_s) * 1000;
+  latency_(ms);
+  Bucket& bucket = BucketAt(ending.ended_s);
+  ++bucket.answered;
+  bucket.latency_ms.push_back(ms);
+}
+
+uint64_t Report::Count(Outcome outcome) const {
+  uint64_t total = 0;
+  for (const auto& row : counts_) total += row.at(static_cast<size_t>(outcome));
+  return total;
+}
+
+double Report::Quantile(double q) const {
+  double total = 0;
+  for (auto&& cell : boost::histogram::indexed(latency_)) total += *cell;
+  double seen = 0;
+  for (auto&& cell : boost::histogram::indexed(latency_)) {
+    seen += *cell;
+    if (total > 0 && seen >= q * total) return cell.bin().upper();
+  }
+  return 0;
+}
+
+std::string Report::Progress(double at_s) const {
+  return fmt::format(
+      "{:5.1f} s  offered {}  answered {}  not run {}  unknown {}", at_s,
+      offered_, Count(Outcome::kAnswered), Count(Outcome::kNotRun),
+      Count(Outcome::kUnknown));
+}
+
+nlohmann::json Report::Json() const {
+  nlohmann::json classes;
+  for (size_t c = 0; c < base::kClassCount; ++c) {
+    const auto& row = counts_.at(c);
+    classes[std::string(base::kClassNames.at(c))] = {
+        {"answered", row[0]}, {"not_run", row[1]}, {"unknown", row[2]}};
+  }
+  nlohmann::json series = nlohmann::json::array();
+  for (const Bucket& bucket : buckets_) {
+    series.push_back({{"offered", bucket.offered},
+                      {"answered", bucket.answered},
+                      {"p99_ms", QuantileOf(bucket.latency_ms, 0.99)}});
+  }
+  return {{"offered", offered_},
+          {"answered", Count(Outcome::kAnswered)},
+          {"not_run", Count(Outcome::kNotRun)},
+          {"unknown", Count(Outcome::kUnknown)},
+          {"doubled", doubled},
+          {"broken", broken_},
+          {"untrue_not_run", untrue_not_run},
+          {"client_repeats", repeats_},
+          {"goodput_per_s",
+           static_cast<double>(Count(Outcome::kAnswered)) / seconds_},
+          {"p50_ms", Quantile(0.5)},
+          {"p99_ms", Quantile(0.99)},
+          {"refusal_p50_ms", QuantileOf(refusal_ms_, 0.5)},
+          {"refusal_p99_ms", QuantileOf(refusal_ms_, 0.99)},
+          {"work_ms", work_ms},
+          {"wasted_ms", wasted_ms},
+          {"classes", classes},
+          {"bucket_s", kBucketSeconds},
+          {"series", series}};
+}
+
+std::string Report::Summary(const std::string& label) const {
+  std::string out;
+  for (size_t c = 0; c < base::kClassCount; ++c) {
+    const auto& row = counts_.at(c);
+    out += fmt::format("{:<11} answered {:>7}  not run {:>7}  unknown {:>6}\n",
+                       base::kClassNames.at(c), row[0], row[1], row[2]);
+  }
+  out += fmt::format(
+      "latency p50 {:.1f} ms, p99 {:.1f} ms; refusal p50 {:.1f} "
+      "ms, p99 {:.1f} ms\n",
+      Quantile(0.5), Quantile(0.99), QuantileOf(refusal_ms_, 0.5),
+      QuantileOf(refusal_ms_, 0.99));
+  double wasted = work_ms > 0 ? 100 * wasted_ms / work_ms : 0;
+  out += fmt::format(
+      "goodput {:.1f} requests/s; wasted work {:.1f}%; callers' "
+      "repeats {}; told not run but ran {}\n",
+      static_cast<double>(Count(Outcome::kAnswered)) / seconds_, wasted,
+      repeats_, untrue_not_run);
+  out += fmt::format(
+      "{}: offered={} answered={} not_run={} unknown={} doubled={} broken={}\n",
+      label, offered_, Count(Outcome::kAnswered), Count(Outcome::kNotRun),
+      Count(Outcome::kUnknown), doubled, broken_);
+  return out;
+}
+
+std::string Report::Series() const {
+  std::string out;
+  for (size_t i = 0; i < buckets_.size(); ++i) {
+    const Bucket& bucket = buckets_[i];
+    out += fmt::format("{:.1f} {:.1f} {:.1f} {:.2f}\n",
+                       static_cast<double>(i) * kBucketSeconds,
+                       static_cast<double>(bucket.offered) / kBucketSeconds,
+                       static_cast<double>(bucket.answered) / kBucketSeconds,
+                       QuantileOf(bucket.latency_ms, 0.99));
+  }
+  return out;
+}
+
+}  // namespace almondwind::load
--- /dev/null
+++ b/almondwind/machines/gate.cc
@@ -0,0 +1,247 @@
+#include "almondwind/machines/gate.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace almondwind::machines {
+
+using base::Index;
+using base::Millis;
+using base::Reason;
+using base::RequestClass;
+
+namespace {
+constexpr double kSmoothing = 0.1;  // weight of the newest sample
+}  // namespace
+
+Gate::Gate(int slots, int connections, GateOptions options, GateEvents& events)
+    : slots_(slots),
+      connections_(connections),
+      options_(std::move(options)),
+      events_(events),
+      limiter_(MakeLimiter(options_.limiter, slots, connections)) {}
+
+Gate::~Gate() {
+  for (Queue& queue : queues_) {
+    while (!queue.empty()) Pop(queue);
+  }
+}
+
+void Gate::Configure(const GateOptions& options) {
+  if (options.limiter != options_.limiter) {
+    limiter_ = MakeLimiter(options.limiter, slots_, connections_);
+  }
+  options_ = options;
+}
+
+size_t Gate::QueueOf(const Run& run) const {
+  return options_.classes ? Index(run.request->cls)
+                          : Index(RequestClass::kNormal);
+}
+
+Millis Gate::Bound(RequestClass cls) const {
+  RequestClass c = options_.classes ? cls : RequestClass::kNormal;
+  return options_.queue[Index(c)];
+}
+
+size_t Gate::queued() const {
+  size_t total = 0;
+  for (const Queue& queue : queues_) total += queue.size();
+  return total;
+}
+
+int Gate::Limit(Millis now) const {
+  int full = limiter_->limit();
+  if (!ramping_) return full;
+  double done =
+      static_cast<double>((now - ramp_from_).count()) /
+      static_cast<double>(std::max<int64_t>(1, options_.ramp.count()));
+  if (done >= 1) return full;
+  double start = options_.ramp_start_percent / 100.0;
+  double share = start + (1 - start) * std::max(0.0, done);
+  return std::max(1, static_cast<int>(std::floor(full * share)));
+}
+
+double Gate::ServiceMillis(Millis now) const {
+  if (running_.empty()) return service_ms_;
+  double mean_age = static_cast<double>(now.count()) -
+                    static_cast<double>(running_since_sum_) /
+                        static_cast<double>(running_.size());
+  // A slow spell shows in the age of what runs before it shows in what ends.
+  return std::max(service_ms_, mean_age);
+}
+
+Millis Gate::Wait(RequestClass cls, Millis now) const {
+  int limit = Limit(now);
+  size_t ahead = 0;
+  size_t last = options_.classes ? Index(cls) : base::kClassCount - 1;
+  for (size_t i = 0; i <= last; ++i) ahead += queues_[i].size();
+  if (ahead == 0 && in_progress() < limit) return Millis(0);
+  double over =
+      static_cast<double>(ahead) + 1 + std::max(0, in_progress() - limit);
+  return Millis(std::llround(over * ServiceMillis(now) / limit));
+}
+
+bool Gate::BelowFloor(RequestClass cls) const {
+  return options_.classes && Index(cls) > Index(floor_);
+}
+
+// The floor rises when a class is refused, and lifts only when half of that
+// class's bound is free again, so that it does not flap on every arrival.
+void Gate::LiftFloor(Millis now) {
+  while (floor_ != RequestClass::kBackground &&
+         Wait(floor_, now) <= Bound(floor_) / 2) {
+    floor_ = static_cast<RequestClass>(Index(floor_) + 1);
+  }
+}
+
+void Gate::Refuse(Run& run, Reason reason) {
+  run.state = RunState::kDone;
+  ++refusals_[static_cast<size_t>(reason)];
+  events_.Refused(run, reason);
+}
+
+void Gate::EvictBelow(RequestClass cls) {
+  if (!options_.classes) return;
+  for (size_t i = base::kClassCount - 1; i > Index(cls); --i) {
+    while (!queues_[i].empty()) {
+      RunPtr lower = Pop(queues_[i]);
+      Refuse(*lower, Reason::kEvicted);
+    }
+  }
+}
+
+void Gate::RefuseForLoad(Run& run, Reason reason) {
+  RequestClass cls = run.request->cls;
+  EvictBelow(cls);
+  if (Index(cls) < Index(floor_)) floor_ = cls;
+  Refuse(run, reason);
+}
+
+RunPtr Gate::Pop(Queue& queue) {
+  // The queue owns one count of each run in it.
+  RunPtr run(&queue.front(), /*add_ref=*/false);
+  queue.pop_front();
+  return run;
+}
+
+void Gate::Offer(const RunPtr& run, Millis now) {
+  if (leaving_) return Refuse(*run, Reason::kLeaving);
+  if (run->request->deadline <= now) return Refuse(*run, Reason::kDeadline);
+  LiftFloor(now);
+  RequestClass cls = run->request->cls;
+  if (BelowFloor(cls)) return RefuseForLoad(*run, Reason::kOverload);
+  Queue& queue = queues_[QueueOf(*run)];
+  if (Wait(cls, now) > Bound(cls) || queue.size() >= options_.queue_entries) {
+    return RefuseForLoad(*run, Reason::kOverload);
+  }
+  run->state = RunState::kQueued;
+  run->enqueued = now;
+  intrusive_ptr_add_ref(run.get());
+  queue.push_back(*run);
+  StartNext(now);
+}
+
+void Gate::StartRun(const RunPtr& run, Millis now) {
+  run->state = RunState::kRunning;
+  run->started = now;
+  running_since_sum_ += now.count();
+  running_.emplace(run->id, run);
+  events_.Start(*run);
+}
+
+void Gate::StartNext(Millis now) {
+  for (size_t i = 0; i < base::kClassCount; ++i) {
+    Queue& queue = queues_[i];
+    while (!queue.empty() && in_progress() < Limit(now)) {
+      RunPtr run = Pop(queue);
+      // The clock is checked here and not at arrival: a process that was
+      // paused finds its queue full of requests that nobody waits for.
+      if (run->request->deadline <= now) {
+        RefuseForLoad(*run, Reason::kDeadline);
+      } else if (now - run->enqueued > Bound(run->request->cls)) {
+        RefuseForLoad(*run, Reason::kQueueTimeout);
+      } else {
+        StartRun(run, now);
+      }
+    }
+  }
+}
+
+void Gate::End(Run& run, RunEnd end, Millis now) {
+  auto it = running_.find(run.id);
+  if (it == running_.end()) return;
+  RunPtr keep = it->second;
+  RunSample sample;
+  sample.now = now;
+  sample.latency = now - run.started;
+  sample.shed = end.shed;
+  sample.saturated = in_progress() >= limiter_->limit();
+  running_.erase(it);
+  running_since_sum_ -= run.started.count();
+  run.state = RunState::kDone;
+  if (!end.shed && !run.cancelled) {
+    auto ms = static_cast<double>(sample.latency.count());
+    service_ms_ =
+        service_ms_ == 0 ? ms : service_ms_ + kSmoothing * (ms - service_ms_);
+  }
+  limiter_->OnRunEnd(sample);
+  StartNext(now);
+  LiftFloor(now);
+}
+
+bool Gate::Withdraw(Run& run, Reason reason, Millis now) {
+  if (run.state != RunState::kQueued) return false;
+  Queue& queue = queues_[QueueOf(run)];
+  queue.erase(queue.iterator_to(run));
+  RunPtr keep(&run, /*add_ref=*/false);
+  Refuse(run, reason);
+  LiftFloor(now);
+  return true;
+}
+
+void Gate::Tick(Millis now) {
+  // Most important first: a refusal there evicts the rest anyway.
+  for (Queue& queue : queues_) {
+    while (!queue.empty()) {
+      Run& front = queue.front();
+      bool expired = front.request->deadline <= now;
+      bool late = now - front.enqueued > Bound(front.request->cls);
+      if (!expired && !late) break;
+      RunPtr run = Pop(queue);
+      RefuseForLoad(*run, expired ? Reason::kDeadline : Reason::kQueueTimeout);
+    }
+  }
+  StartNext(now);
+  LiftFloor(now);
+}
+
+void Gate::Leave() { leaving_ = true; }
+
+void Gate::Join(Millis now, bool cold) {
+  leaving_ = false;
+  ramping_ = cold;
+  ramp_from_ = now;
+}
+
+links::Load Gate::Report(Millis now) const {
+  links::Load load;
+  load.in_progress = static_cast<uint32_t>(in_progress());
+  load.limit = static_cast<uint32_t>(Limit(now));
+  load.service_ms = static_cast<uint32_t>(std::lround(ServiceMillis(now)));
+  load.leaving = leaving_;
+  Millis floor_wait = Wait(floor_, now) - Bound(floor_) / 2;
+  for (size_t i = 0; i < base::kClassCount; ++i) {
+    auto cls = static_cast<RequestClass>(i);
+    Millis wait = Wait(cls, now);
+    Millis over = wait - Bound(cls);
+    if (BelowFloor(cls)) over = std::max(over, floor_wait);
+    load.wait_ms[i] = static_cast<uint32_t>(wait.count());
+    load.retry_after_ms[i] =
+        static_cast<uint32_t>(std::max<int64_t>(0, over.count()));
+  }
+  return load;
+}
+
+}  // namespace almondwind::machines
--- /dev/null
+++ b/almondwind/machines/limiter.cc
@@ -0,0 +1,79 @@
+#include "almondwind/machines/limiter.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace almondwind::machines {
+namespace {
+
+constexpr double kShedFactor = 0.8;
+constexpr base::Millis kCutInterval{50};
+constexpr double kIncreasePerRun = 0.1;
+constexpr base::Millis kWindow{200};
+constexpr int kMinWindowRuns = 10;
+// Latency at which a saturated upstream is taken to queue inside.
+constexpr double kQueueingRatio = 1.5;
+constexpr double kShrink = 0.95;
+
+}  // namespace
+
+int ShedLimiter::limit() const {
+  return std::max(1, static_cast<int>(std::floor(limit_)));
+}
+
+void ShedLimiter::OnRunEnd(const RunSample& sample) {
+  if (sample.shed) {
+    if (sample.now - last_cut_ < kCutInterval) return;
+    last_cut_ = sample.now;
+    limit_ = std::max(1.0, limit_ * kShedFactor);
+    return;
+  }
+  double step = sample.saturated ? kIncreasePerRun : 0;
+  limit_ = std::min<double>(slots_, limit_ + step);
+}
+
+int ThroughputLimiter::limit() const {
+  return std::max(1, static_cast<int>(std::floor(limit_)));
+}
+
+void ThroughputLimiter::OnRunEnd(const RunSample& sample) {
+  if (sample.shed) {
+    limit_ = std::max(1.0, limit_ * kShedFactor);
+    return;
+  }
+  ++window_runs_;
+  window_saturated_ += sample.saturated ? 1 : 0;
+  window_latency_ += static_cast<double>(sample.latency.count());
+  bool due = sample.now - window_start_ >= kWindow;
+  if (due && window_runs_ >= kMinWindowRuns) CloseWindow(sample);
+}
+
+void ThroughputLimiter::CloseWindow(const RunSample& sample) {
+  double latency = window_latency_ / window_runs_;
+  bool saturated = window_saturated_ * 2 > window_runs_;
+  if (!saturated || base_latency_ == 0) {
+    base_latency_ =
+        base_latency_ == 0 ? latency : 0.8 * base_latency_ + 0.2 * latency;
+  } else if (latency > kQueueingRatio * base_latency_) {
+    // Never far below the slots: a slow spell looks the same as queueing, and
+    // cutting slots there would cut goodput.
+    limit_ = std::max(limit_ * kShrink, slots_ * 0.5);
+  } else {
+    limit_ = std::min<double>(max_, limit_ + 1);
+  }
+  window_start_ = sample.now;
+  window_runs_ = 0;
+  window_saturated_ = 0;
+  window_latency_ = 0;
+}
+
+std::unique_ptr<Limiter> MakeLimiter(const std::string& name, int slots,
+                                     int connections) {
+  if (name == "fixed") return std::make_unique<FixedLimiter>(slots);
+  if (name == "throughput") {
+    return std::make_unique<ThroughputLimiter>(slots, connections);
+  }
+  return std::make_unique<ShedLimiter>(slots);
+}
+
+}  // namespace almondwind::machines
--- /dev/null
+++ b/almondwind/node/caller_server.cc
@@ -0,0 +1,281 @@
+#include "almondwind/node/caller_server.h"
+
+#include <sys/socket.h>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <charconv>
+#include <chrono>
+#include <nlohmann/json.hpp>
+#include <optional>
+
+#include "almondwind/links/mesh.h"
+#include "almondwind/node/node.h"
+
+namespace almondwind::node {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+namespace net = boost::asio;
+using beast::error_code;
+
+class CallerSession : public std::enable_shared_from_this<CallerSession> {
+ public:
+  CallerSession(CallerServer& server, net::ip::tcp::socket socket)
+      : server_(server), stream_(std::move(socket)) {
+    ++server_.connections_;
+  }
+  ~CallerSession() { --server_.connections_; }
+
+  void Read();
+  void Answer(const Reply& reply);
+  beast::tcp_stream::executor_type executor() { return stream_.get_executor(); }
+
+ private:
+  using Response = http::response<http::string_body>;
+
+  void OnRead(error_code ec);
+  void Dispatch();
+  CallerRequest Parse() const;
+  void Refuse(const base::Error& error);
+  void Watch();
+  bool Gone();
+  void Write(Response response);
+
+  CallerServer& server_;
+  beast::tcp_stream stream_;
+  beast::flat_buffer buffer_;
+  std::optional<http::request_parser<http::string_body>> parser_;
+  std::optional<Response> response_;
+  uint64_t caller_ = 0;  // of the request in progress
+  bool keep_alive_ = true;
+};
+
+namespace {
+
+std::string Header(const http::request<http::string_body>& request,
+                   beast::string_view name) {
+  auto it = request.find(name);
+  return it == request.end() ? std::string() : std::string(it->value());
+}
+
+int64_t ParseTimeout(const std::string& text) {
+  if (text.empty()) return 0;
+  int64_t value = 0;
+  auto [end, error] =
+      std::from_chars(text.data(), text.data() + text.size(), value);
+  if (error != std::errc() || end != text.data() + text.size()) {
+    throw base::Error(base::Reason::kMalformed,
+                      "X-Request-Timeout-Ms is no integer");
+  }
+  // Zero milliseconds left is no deadline at all to the node; say so.
+  return value == 0 ? -1 : value;
+}
+
+std::string ErrorBody(base::Reason reason, const std::string& detail) {
+  nlohmann::json body = {{"reason", base::ReasonName(reason)},
+                         {"remedy", base::ReasonRemedy(reason)}};
+  if (!detail.empty()) body["detail"] = detail;
+  return body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+}  // namespace
+
+void CallerSession::Read() {
+  parser_.emplace();
+  parser_->header_limit(static_cast<uint32_t>(server_.options_.header_bytes));
+  parser_->body_limit(server_.options_.body_bytes);
+  stream_.expires_after(
+      std::chrono::milliseconds(server_.options_.idle.count()));
+  http::async_read(
+      stream_, buffer_, *parser_,
+      [self = shared_from_this()](error_code ec, size_t) { self->OnRead(ec); });
+}
+
+void CallerSession::OnRead(error_code ec) {
+  if (ec == http::error::body_limit) {
+    keep_alive_ = false;
+    return Refuse(base::Error(base::Reason::kBodyTooLarge, "request body"));
+  }
+  if (ec == http::error::end_of_stream || ec == net::error::eof ||
+      ec == beast::error::timeout || ec == net::error::connection_reset) {
+    error_code ignored;
+    stream_.socket().shutdown(net::ip::tcp::socket::shutdown_send, ignored);
+    return;
+  }
+  if (ec) {
+    keep_alive_ = false;
+    return Refuse(base::Error(base::Reason::kMalformed, ec.message()));
+  }
+  keep_alive_ = parser_->get().keep_alive();
+  Dispatch();
+}
+
+CallerRequest CallerSession::Parse() const {
+  const auto& message = parser_->get();
+  CallerRequest request;
+  request.method = std::string(message.method_string());
+  request.target = std::string(message.target());
+  request.request_id = Header(message, "X-Request-Id");
+  request.request_class = Header(message, "X-Request-Class");
+  request.timeout_ms = ParseTimeout(Header(message, "X-Request-Timeout-Ms"));
+  request.key = Header(message, "Idempotency-Key");
+  request.content_type = Header(message, "Content-Type");
+  return request;
+}
+
+void CallerSession::Dispatch() {
+  stream_.expires_never();
+  try {
+    CallerRequest request = Parse();
+    request.body = std::move(parser_->get().body());
+    caller_ = server_.Enroll(shared_from_this());
+    request.caller = caller_;
+    Watch();
+    server_.node_->OnCallerRequest(request);
+  } catch (const base::Error& e) {
+    server_.Strike(caller_);
+    Refuse(e);
+  }
+}
+
+void CallerSession::Refuse(const base::Error& error) {
+  Reply reply;
+  // The request went no further than this node.
+  reply.outcome = base::Outcome::kNotRun;
+  reply.reason = error.reason();
+  reply.body = error.what();
+  Answer(reply);
+}
+
+// Sees whether the caller closes while its request is in progress. Bytes that
+// arrive are the next request and end the watch.
+void CallerSession::Watch() {
+  if (buffer_.size() > 0) return;
+  stream_.socket().async_wait(
+      net::ip::tcp::socket::wait_read,
+      [self = shared_from_this(), caller = caller_](error_code ec) {
+        if (ec || self->caller_ != caller) return;
+        if (self->Gone()) self->server_.node_->OnCallerGone(caller);
+      });
+}
+
+bool CallerSession::Gone() {
+  char byte = 0;
+  ssize_t got = ::recv(stream_.socket().native_handle(), &byte, 1,
+                       MSG_PEEK | MSG_DONTWAIT);
+  return got == 0 || (got < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
+void CallerSession::Answer(const Reply& reply) {
+  caller_ = 0;
+  error_code ignored;
+  stream_.socket().cancel(ignored);  // ends the watch
+  Response response;
+  response.version(11);
+  response.set("X-Outcome",
+               std::string(base::NameOf(base::kOutcomeNames, reply.outcome)));
+  if (!reply.request_id.empty()) {
+    response.set("X-Request-Id", reply.request_id);
+  }
+  if (!reply.contract.empty()) response.set("X-Contract", reply.contract);
+  if (reply.outcome == base::Outcome::kAnswered) {
+    response.result(reply.status);
+    response.set(http::field::content_type, reply.content_type);
+    response.body() = reply.body;
+  } else {
+    response.result(static_cast<unsigned>(base::ReasonStatus(reply.reason)));
+    response.set("X-Reason", std::string(base::ReasonName(reply.reason)));
+    response.set(http::field::content_type, "application/json");
+    if (reply.outcome == base::Outcome::kNotRun) {
+      // Whole seconds, as HTTP has it, and the finer value beside it.
+      int64_t after = reply.retry_after.count();
+      response.set(http::field::retry_after, std::to_string(after / 1000 + 1));
+      response.set("X-Retry-After-Ms", std::to_string(after));
+    }
+    response.body() = ErrorBody(reply.reason, reply.body);
+  }
+  Write(std::move(response));
+}
+
+void CallerSession::Write(Response response) {
+  bool keep = keep_alive_ && !server_.closing_;
+  response.keep_alive(keep);
+  response.prepare_payload();
+  response_.emplace(std::move(response));
+  http::async_write(stream_, *response_,
+                    [self = shared_from_this(), keep](error_code ec, size_t) {
+                      if (ec) return;
+                      if (keep) return self->Read();
+                      error_code ignored;
+                      self->stream_.socket().shutdown(
+                          net::ip::tcp::socket::shutdown_send, ignored);
+                    });
+}
+
+CallerServer::CallerServer(net::io_context& io, CallerServerOptions options)
+    : io_(io), options_(std::move(options)), acceptor_(io) {}
+
+CallerServer::~CallerServer() = default;
+
+void CallerServer::Listen() {
+  net::ip::tcp::endpoint endpoint = links::ParseEndpoint(options_.listen);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(net::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen(net::socket_base::max_listen_connections);
+  Accept();
+}
+
+void CallerServer::Accept() {
+  acceptor_.async_accept(
+      net::make_strand(io_),
+      [this](error_code ec, net::ip::tcp::socket socket) {
+        if (ec == net::error::operation_aborted) return;
+        bool room = connections_ < static_cast<int>(options_.connections);
+        if (!ec && room) {
+          error_code ignored;
+          socket.set_option(net::ip::tcp::no_delay(true), ignored);
+          std::make_shared<CallerSession>(*this, std::move(socket))->Read();
+        }
+        Accept();
+      });
+}
+
+void CallerServer::StopAccepting() {
+  net::post(acceptor_.get_executor(), [this] {
+    error_code ignored;
+    acceptor_.close(ignored);
+  });
+}
+
+uint64_t CallerServer::Enroll(const std::shared_ptr<CallerSession>& session) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  uint64_t caller = next_caller_++;
+  callers_[caller] = session;
+  return caller;
+}
+
+void CallerServer::Strike(uint64_t caller) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  callers_.erase(caller);
+}
+
+void CallerServer::Answer(uint64_t caller, const Reply& reply) {
+  std::shared_ptr<CallerSession> session;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    auto it = callers_.find(caller);
+    if (it == callers_.end()) return;
+    session = std::move(it->second);
+    callers_.erase(it);
+  }
+  // Posted, because the node calls with its lock held.
+  CallerSession* raw = session.get();
+  net::post(raw->executor(),
+            [session = std::move(session), reply] { session->Answer(reply); });
+}
+
+}  // namespace almondwind::node
--- /dev/null
+++ b/almondwind/node/node.cc
@@ -0,0 +1,374 @@
+#include "almondwind/node/node.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "almondwind/contracts/ledger.h"
+#include "almondwind/teams/knob.h"
+
+namespace almondwind::node {
+
+using base::Millis;
+using base::Outcome;
+using base::Reason;
+using Lock = std::lock_guard<std::mutex>;
+
+namespace {
+
+constexpr std::string_view kTeamsRoot = "/teams/";
+constexpr std::string_view kHostsRoot = "/hosts/";
+// A chain reports a queue worth heeding from this wait on.
+constexpr uint32_t kQueuedBelowMs = 8;
+
+bool StartsWith(std::string_view text, std::string_view prefix) {
+  return text.substr(0, prefix.size()) == prefix;
+}
+
+}  // namespace
+
+Node::Node(NodeOptions options, const base::Clock& clock,
+           base::Entropy& entropy, Links& links, Upstream& upstream,
+           Callers& callers, teams::Control& control, DecisionLog& log)
+    : options_(std::move(options)),
+      clock_(clock),
+      incarnation_(entropy.Next() | 1),
+      callers_(callers),
+      log_(log),
+      server_(options_.server, incarnation_, entropy, links, upstream, *this,
+              log),
+      router_(options_.directory, options_.router, links, *this, log,
+              incarnation_),
+      store_(options_.store, *this),
+      relay_(options_.relay, store_, control, incarnation_ ^ 1),
+      started_(clock.Now()) {}
+
+void Node::OnCallerGone(uint64_t caller) {
+  Lock lock(mutex_);
+  auto it = call_of_caller_.find(caller);
+  if (it != call_of_caller_.end()) router_.Cancel(it->second, clock_.Now());
+}
+
+void Node::OnLinkUp(const links::Welcome& welcome) {
+  Lock lock(mutex_);
+  router_.OnLinkUp(welcome, clock_.Now());
+}
+
+void Node::OnLinkDown(const std::string& host) {
+  Lock lock(mutex_);
+  router_.OnLinkDown(host, clock_.Now());
+}
+
+void Node::OnGateMessage(const std::string& host,
+                         const links::Message& message) {
+  Lock lock(mutex_);
+  if (const auto* answer = std::get_if<links::Answer>(&message)) {
+    router_.OnAnswer(host, *answer, clock_.Now());
+  } else if (std::holds_alternative<links::Leaving>(message)) {
+    router_.OnLeaving(host);
+  }
+}
+
+uint64_t Node::OpenSession(const links::Hello& hello) {
+  Lock lock(mutex_);
+  return server_.OpenSession(hello, clock_.Now());
+}
+
+void Node::CloseSession(uint64_t session) {
+  Lock lock(mutex_);
+  server_.CloseSession(session, clock_.Now());
+}
+
+void Node::OnRouterMessage(const links::Message& message) {
+  Lock lock(mutex_);
+  server_.OnMessage(message, clock_.Now());
+}
+
+void Node::OnUpstreamEnd(uint64_t run, UpstreamEnd end) {
+  Lock lock(mutex_);
+  server_.OnUpstreamEnd(run, std::move(end), clock_.Now());
+}
+
+void Node::OnControl(std::string_view bytes) {
+  Lock lock(mutex_);
+  try {
+    relay_.OnMessage(bytes, clock_.Now());
+  } catch (const base::Error& e) {
+    ++counts_.malformed_control;
+    log_.Event("control_malformed", e.what());
+  }
+}
+
+void Node::OnPlatform(const std::vector<teams::Value>& values) {
+  Lock lock(mutex_);
+  relay_.OnPlatform(values, clock_.Now());
+}
+
+bool Node::ShouldReadPlatform() const {
+  Lock lock(mutex_);
+  return relay_.ShouldRead(clock_.Now());
+}
+
+void Node::SetLeaving(LeaveCause cause, bool leaving) {
+  Lock lock(mutex_);
+  if (leaving) {
+    leaving_.insert(cause);
+  } else {
+    leaving_.erase(cause);
+  }
+  ApplyLeaving();
+}
+
+void Node::ApplyLeaving() {
+  bool leaving = !leaving_.empty();
+  if (leaving == was_leaving_) return;
+  was_leaving_ = leaving;
+  log_.Event(leaving ? "leaving" : "joining", options_.host);
+  if (leaving) {
+    server_.Leave();
+  } else {
+    server_.Join(clock_.Now(), /*cold=*/true);
+  }
+}
+
+void Node::Tick() {
+  Lock lock(mutex_);
+  Millis now = clock_.Now();
+  server_.Tick(now);
+  router_.Tick(now);
+  relay_.Tick(now);
+}
+
+bool Node::ReadyLocked() const {
+  if (policies_.empty()) return false;
+  if (relay_.heard_peer() || !relay_.has_peers()) return true;
+  return clock_.Now() - started_ >= options_.boot_patience;
+}
+
+bool Node::ready() const {
+  Lock lock(mutex_);
+  return ReadyLocked();
+}
+
+bool Node::idle() const {
+  Lock lock(mutex_);
+  return entries_.empty() && server_.run_count() == 0;
+}
+
+NodeCounts Node::counts() const {
+  Lock lock(mutex_);
+  return counts_;
+}
+
+RouterCounts Node::router_counts() const {
+  Lock lock(mutex_);
+  return router_.counts();
+}
+
+Node::PolicyPtr Node::PolicyOf(const std::string& service) const {
+  auto it = policies_.find(service);
+  return it == policies_.end() ? nullptr : it->second;
+}
+
+void Node::SendLocal(const links::Call& call) {
+  server_.OnLocalCall(call, clock_.Now());
+}
+
+void Node::CancelLocal(uint64_t id) { server_.OnLocalCancel(id, clock_.Now()); }
+
+void Node::OnLocalAnswer(const links::Answer& answer) {
+  router_.OnAnswer(options_.host, answer, clock_.Now());
+}
+
+void Node::OnRunEnded(uint64_t run) {
+  auto it = legs_.find(run);
+  if (it == legs_.end()) return;
+  std::set<uint64_t> calls = std::move(it->second);
+  legs_.erase(it);
+  for (uint64_t call : calls) router_.Cancel(call, clock_.Now());
+}
+
+void Node::Finished(Call& call, const CallResult& result) {
+  auto it = entries_.find(call.id);
+  if (it == entries_.end()) return;
+  if (it->second.has_offer || it->second.asks_contract) {
+    Entry entry = std::move(it->second);
+    entries_.erase(it);
+    return EndOffer(entry, result);
+  }
+  EndEntry(call, result);
+}
+
+// The end of a request of a caller or of a leg of a run.
+void Node::EndEntry(Call& call, const CallResult& result) {
+  Entry entry = std::move(entries_.at(call.id));
+  entries_.erase(call.id);
+  if (call.in_window) {
+    bool refused =
+        result.outcome != Outcome::kAnswered && IsLoadRefusal(result.reason);
+    size_t cls = base::Index(call.request->cls);
+    uint32_t wait = std::max(result.answer.below_ms.at(cls),
+                             result.answer.load.wait_ms.at(cls));
+    WindowOf(*call.request)
+        ->Leave(refused, wait >= kQueuedBelowMs, clock_.Now());
+  }
+  if (call.parent_run != 0) EndLeg(call, result);
+  if (call.parent_run == 0) {
+    ++counts_.outcomes.at(base::Index(call.request->cls))
+          .at(static_cast<size_t>(result.outcome));
+  }
+  Reply reply;
+  reply.outcome = result.outcome;
+  reply.reason = result.reason;
+  reply.status = result.answer.status;
+  reply.content_type = result.answer.content_type;
+  reply.body = result.answer.body;
+  reply.request_id = call.request->id;
+  reply.retry_after = result.retry_after;
+  bool offers = !entry.offers.empty() && result.outcome == Outcome::kAnswered;
+  if (!offers) return Answer(entry, reply);
+  entry.has_offer = true;
+  entry.reply = std::move(reply);
+  std::string service = entry.offers;
+  StartIssue(call, service, std::move(entry));
+}
+
+// Gives back to the run what the call did not spend, and tells it what the
+// call met.
+void Node::EndLeg(const Call& call, const CallResult& result) {
+  auto legs = legs_.find(call.parent_run);
+  if (legs != legs_.end()) legs->second.erase(call.id);
+  machines::Run* run = server_.FindRun(call.parent_run);
+  if (run == nullptr) return;
+  run->permits += result.permits;
+  if (result.outcome != Outcome::kNotRun) run->legs_not_run = false;
+  machines::MaxInto(run->below_ms, result.answer.below_ms);
+  machines::MaxInto(run->below_ms, result.answer.load.wait_ms);
+}
+
+void Node::EndOffer(Entry& entry, const CallResult& result) {
+  bool issued = result.outcome == Outcome::kAnswered;
+  Reply reply = std::move(entry.reply);
+  if (issued) reply.contract = result.answer.contract;
+  if (entry.asks_contract) {
+    reply.outcome = Outcome::kNotRun;
+    reply.reason = issued ? Reason::kContractRequired : result.reason;
+  }
+  Answer(entry, reply);
+}
+
+void Node::Answer(const Entry& entry, const Reply& reply) {
+  call_of_caller_.erase(entry.caller);
+  callers_.Answer(entry.caller, reply);
+}
+
+void Node::PutInForce(const teams::Value& value) {
+  if (StartsWith(value.path, kTeamsRoot)) {
+    std::string team = value.path.substr(kTeamsRoot.size());
+    teams::TeamPolicy parsed = teams::ParseTeamPolicy(team, value.text);
+    std::string prefix = team + "/";
+    for (auto it = policies_.lower_bound(prefix); it != policies_.end();) {
+      if (!StartsWith(it->first, prefix)) break;
+      it = policies_.erase(it);
+    }
+    for (auto& [name, policy] : parsed.services) {
+      std::string service = prefix + name;
+      if (service == options_.server.service) {
+        server_.gate().Configure(policy.gate);
+      }
+      policies_[service] =
+          std::make_shared<teams::ServicePolicy>(std::move(policy));
+    }
+  } else if (StartsWith(value.path, kHostsRoot)) {
+    std::string service = value.path.substr(kHostsRoot.size());
+    ApplyHosts(service, teams::ParseHosts(value.text, value.path));
+  } else {
+    throw teams::SettingsError(value.path, 0, "a path of no known kind",
+                               "publish below /teams/NAME or /hosts/TEAM/NAME");
+  }
+  log_.Event("config_in_force",
+             value.path + " version " + std::to_string(value.version));
+}
+
+void Node::ApplyHosts(const std::string& service,
+                      const std::vector<zones::HostEntry>& hosts) {
+  relay_.UpdateHosts(service, hosts);
+  hosts_[service] = hosts;
+  if (tracked_.count(service) != 0) {
+    router_.directory().Update(service, hosts);
+  }
+  if (service != options_.server.service) return;
+  for (const zones::HostEntry& host : hosts) {
+    if (host.name != options_.host) continue;
+    if (host.leaving) {
+      leaving_.insert(LeaveCause::kList);
+    } else {
+      leaving_.erase(LeaveCause::kList);
+    }
+    ApplyLeaving();
+  }
+}
+
+void Node::Refused(const teams::Value& value, const std::string& fault) {
+  ++counts_.config_refused;
+  log_.Event(
+      "config_refused",
+      value.path + " version " + std::to_string(value.version) + ": " + fault);
+}
+
+nlohmann::json Node::Status() const {
+  Lock lock(mutex_);
+  Millis now = clock_.Now();
+  const machines::Gate& gate = server_.gate();
+  nlohmann::json queues;
+  for (size_t i = 0; i < base::kClassCount; ++i) {
+    auto cls = static_cast<base::RequestClass>(i);
+    queues[std::string(base::kClassNames.at(i))] = {
+        {"queued", gate.queued(cls)}, {"wait_ms", gate.Wait(cls, now).count()}};
+  }
+  nlohmann::json peers = nlohmann::json::array();
+  for (const auto& [name, machine] : router_.directory().machines()) {
+    peers.push_back({{"host", name},
+                     {"zone", machine->entry().zone},
+                     {"leaving", machine->leaving()},
+                     {"outstanding", machine->outstanding()},
+                     {"limit", machine->load().limit},
+                     {"in_progress", machine->load().in_progress},
+                     {"service_ms", machine->load().service_ms},
+                     {"failures", machine->failures()}});
+  }
+  nlohmann::json config = nlohmann::json::object();
+  for (const auto& [path, value] : store_.entries()) {
+    config[path] = value.version;
+  }
+  nlohmann::json windows = nlohmann::json::object();
+  for (const auto& [name, window] : windows_) {
+    windows[name] = {{"size", window.size()},
+                     {"in_progress", window.in_progress()}};
+  }
+  nlohmann::json refusals = nlohmann::json::object();
+  for (size_t r = 0; r < base::kReasonCount; ++r) {
+    uint64_t count = gate.refusals().at(r);
+    auto name = base::ReasonName(static_cast<Reason>(r));
+    if (count > 0) refusals[std::string(name)] = count;
+  }
+  return {{"host", options_.host},
+          {"refusals", refusals},
+          {"zone", options_.zone},
+          {"incarnation", incarnation_},
+          {"ready", ReadyLocked()},
+          {"leaving", was_leaving_},
+          {"service", options_.server.service},
+          {"limit", gate.Limit(now)},
+          {"in_progress", gate.in_progress()},
+          {"queues", queues},
+          {"peers", peers},
+          {"windows", windows},
+          {"config", config},
+          {"config_age_ms", relay_.Age(now).count()},
+          {"contracts_held", server_.ledger().size()},
+          {"calls", router_.call_count()},
+          {"control_bytes_sent", relay_.bytes_sent()},
+          {"control_messages_sent", relay_.messages_sent()}};
+}
+
+}  // namespace almondwind::node
--- /dev/null
+++ b/almondwind/node/router.cc
@@ -0,0 +1,411 @@
+#include "almondwind/node/router.h"
+
+#include <algorithm>
+
+namespace almondwind::node {
+
+using base::Millis;
+using base::Outcome;
+using base::Reason;
+using base::RequestClass;
+using links::Answer;
+using zones::Machine;
+using zones::MachinePtr;
+
+bool IsLoadRefusal(Reason reason) {
+  switch (reason) {
+    case Reason::kOverload:
+    case Reason::kQueueTimeout:
+    case Reason::kEvicted:
+    case Reason::kEntryWindow:
+    case Reason::kUpstreamShed:
+    case Reason::kLedgerFull:
+    case Reason::kTooManyCalls:
+      return true;
+    default:
+      return false;
+  }
+}
+
+Router::Router(zones::DirectoryOptions directory, RouterLimits limits,
+               Links& links, RouterEvents& events, DecisionLog& log,
+               uint64_t seed)
+    : limits_(limits),
+      links_(links),
+      events_(events),
+      log_(log),
+      directory_(directory),
+      self_(directory.host),
+      zone_(directory.zone),
+      region_(directory.region),
+      random_(seed) {}
+
+double Router::Jitter() {
+  return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+const zones::Picker& Router::PickerNamed(const std::string& name) {
+  std::unique_ptr<zones::Picker>& picker = pickers_[name];
+  if (picker == nullptr) picker = zones::MakePicker(name);
+  return *picker;
+}
+
+bool Router::IsLocal(const Machine& machine) const {
+  return machine.name() == self_;
+}
+
+void Router::Start(const CallPtr& call, Millis now) {
+  if (calls_.size() >= limits_.calls) {
+    return Finish(*call, Outcome::kNotRun, Reason::kTooManyCalls, now);
+  }
+  calls_[call->id] = call;
+  Attempt(call, now);
+}
+
+Router::Choice Router::ChooseFixed(Call& call, MachinePtr& chosen) {
+  chosen = directory_.Reach(call.fixed_host);
+  bool tried = !call.tried.empty();
+  if (chosen == nullptr || tried) return Choice::kNone;
+  if (IsLocal(*chosen)) return Choice::kChosen;
+  switch (links_.Prepare(chosen->entry())) {
+    case LinkState::kUp:
+      return Choice::kChosen;
+    case LinkState::kDialling:
+      return Choice::kDialling;
+    case LinkState::kDown:
+      break;
+  }
+  return Choice::kNone;
+}
+
+Router::Choice Router::Choose(Call& call, Millis now, MachinePtr& chosen,
+                              Decision& decision) {
+  if (!call.fixed_host.empty()) return ChooseFixed(call, chosen);
+  const teams::RouterOptions& options = call.policy->router;
+  RequestClass cls = call.request->cls;
+  std::vector<Machine*> usable;
+  std::vector<Machine*> doubtful;  // ejected or silent: better than nothing
+  bool dialling = false;
+  bool overloaded = false;
+  auto pass = [&](const Machine& machine, std::string_view why) {
+    if (log_.enabled()) decision.passed_over.push_back({machine.name(), why});
+  };
+  for (const MachinePtr& machine : directory_.Find(call.request->service)) {
+    const std::string& name = machine->name();
+    if (std::count(call.tried.begin(), call.tried.end(), name) != 0) {
+      pass(*machine, "tried");
+      continue;
+    }
+    if (machine->leaving()) {
+      pass(*machine, "leaving");
+      continue;
+    }
+    LinkState state =
+        IsLocal(*machine) ? LinkState::kUp : links_.Prepare(machine->entry());
+    if (state != LinkState::kUp) {
+      dialling = dialling || state == LinkState::kDialling;
+      pass(*machine, "no link");
+      continue;
+    }
+    // Critical calls are always sent: only a gate may refuse these.
+    bool sheds = machine->RetryAfter(cls, now) > Millis(0);
+    if (sheds && cls != RequestClass::kCritical) {
+      overloaded = true;
+      pass(*machine, "overloaded");
+      continue;
+    }
+    if (!machine->Usable(now, options.eject)) {
+      doubtful.push_back(machine.get());
+      pass(*machine, "ejected");
+      continue;
+    }
+    usable.push_back(machine.get());
+  }
+  std::vector<Machine*>& from = usable.empty() ? doubtful : usable;
+  if (from.empty()) {
+    if (overloaded) return Choice::kOverloaded;
+    return dialling ? Choice::kDialling : Choice::kNone;
+  }
+  zones::PickContext context;
+  context.cls = cls;
+  context.now = now;
+  context.zone = zone_;
+  context.region = region_;
+  context.zone_penalty = options.zone_penalty;
+  context.region_penalty = options.region_penalty;
+  chosen = PickerNamed(options.picker).Pick(from, context, random_);
+  return Choice::kChosen;
+}
+
+void Router::Attempt(const CallPtr& call, Millis now) {
+  // A loop, because an attempt that could not be sent costs no permit; each
+  // round adds to `tried`, which bounds it.
+  while (true) {
+    if (call->request->deadline <= now) {
+      return EndUnsent(*call, Reason::kDeadline, now);
+    }
+    Decision decision;
+    MachinePtr machine;
+    switch (Choose(*call, now, machine, decision)) {
+      case Choice::kChosen:
+        break;
+      case Choice::kDialling:
+        return Park(call, now);
+      case Choice::kOverloaded:
+        return EndUnsent(*call, Reason::kOverload, now);
+      case Choice::kNone:
+        return EndUnsent(*call, Reason::kNoHost, now);
+    }
+    call->tried.push_back(machine->name());
+    decision.host = machine->name();
+    LogRoute(*call, decision);
+    if (SendTo(*call, machine, now)) return;
+    machine->OnUnreachable(now, call->policy->router.eject, Jitter());
+  }
+}
+
+void Router::LogRoute(const Call& call, Decision& decision) {
+  if (!log_.enabled()) return;
+  decision.what = call.attempts == 0 ? "route" : "retry";
+  decision.request = call.request.get();
+  decision.permits = call.permits;
+  log_.Write(decision);
+}
+
+bool Router::SendTo(Call& call, const MachinePtr& machine, Millis now) {
+  const machines::Request& request = *call.request;
+  links::Call out;
+  out.id = next_message_++;
+  out.sent_at_ms = now.count();
+  out.kind = static_cast<uint8_t>(call.kind);
+  out.service = request.service;
+  out.route = request.route;
+  out.cls = static_cast<uint8_t>(request.cls);
+  out.order = request.order;
+  out.timeout_ms = static_cast<uint32_t>((request.deadline - now).count());
+  // One permit stays here for a retry of this very call; the rest goes down.
+  uint32_t keep = call.permits > 0 ? 1 : 0;
+  out.permits = call.permits - keep;
+  out.request_id = request.id;
+  out.key = request.key;
+  out.method = request.method;
+  out.target = request.target;
+  out.content_type = request.content_type;
+  out.body = request.body;
+  call.at = machine;
+  call.message_id = out.id;
+  by_message_[out.id] = CallPtr(&call);
+  if (!IsLocal(*machine)) {
+    auto link = linked_.find(machine->name());
+    if (link != linked_.end()) out.session = link->second.session;
+    if (out.session == 0 || !links_.Send(machine->name(), out)) {
+      by_message_.erase(call.message_id);
+      call.message_id = 0;
+      return false;
+    }
+  }
+  machine->OnSent(now);
+  ++counts_.attempts;
+  ++call.attempts;
+  call.permits = keep;
+  call.permits_sent = out.permits;
+  // Last, because a refusal comes back before SendLocal returns.
+  if (IsLocal(*machine)) events_.SendLocal(out);
+  return true;
+}
+
+void Router::Park(const CallPtr& call, Millis now) {
+  if (parked_.count(call->id) == 0) {
+    if (parked_.size() >= limits_.parked) {
+      return EndUnsent(*call, Reason::kTooManyCalls, now);
+    }
+    if (call->parked_until == Millis(0)) {
+      call->parked_until = now + limits_.dial_patience;
+    }
+    parked_[call->id] = call;
+  }
+  if (now >= call->parked_until) EndUnsent(*call, Reason::kNoHost, now);
+}
+
+// Ends a call of which nothing is under way.
+void Router::EndUnsent(Call& call, Reason reason, Millis now) {
+  // Another node may have sent this order before: only its gate can know.
+  if (!call.fixed_host.empty()) {
+    Reason told =
+        reason == Reason::kNoHost ? Reason::kContractHostGone : reason;
+    return Finish(call, Outcome::kUnknown, told, now);
+  }
+  Outcome outcome = call.maybe_ran ? Outcome::kUnknown : Outcome::kNotRun;
+  Finish(call, outcome, reason, now);
+}
+
+void Router::Finish(Call& call, Outcome outcome, Reason reason, Millis now,
+                    const Answer* answer) {
+  CallPtr keep(&call);
+  CallResult result;
+  result.outcome = outcome;
+  result.reason = reason;
+  result.permits = call.permits;
+  if (answer != nullptr) result.answer = *answer;
+  if (call.at != nullptr) {
+    result.retry_after = call.at->RetryAfter(call.request->cls, now);
+  }
+  parked_.erase(call.id);
+  calls_.erase(call.id);
+  events_.Finished(call, result);
+}
+
+bool Router::MayRetry(const Call& call, Outcome outcome, Reason reason,
+                      Millis now) const {
+  if (call.permits == 0 || call.request->deadline <= now) return false;
+  if (!call.fixed_host.empty()) return false;
+  if (outcome == Outcome::kUnknown) return call.request->idempotent;
+  return IsLoadRefusal(reason) || reason == Reason::kLeaving ||
+         reason == Reason::kUpstreamUnreachable;
+}
+
+void Router::OnAnswer(const std::string& host, const Answer& answer,
+                      Millis now) {
+  auto it = by_message_.find(answer.id);
+  bool ours = it != by_message_.end() && it->second->at->name() == host;
+  if (ours && host != self_) {
+    auto link = linked_.find(host);
+    ours = link != linked_.end() && link->second.session == answer.session;
+  }
+  if (!ours) {
+    ++counts_.late_answers;
+    return;
+  }
+  CallPtr call = it->second;
+  by_message_.erase(it);
+  call->message_id = 0;
+  auto reason = static_cast<Reason>(answer.reason);
+  bool working = reason != Reason::kUpstreamUnreachable &&
+                 reason != Reason::kUpstreamClosed;
+  call->at->OnAnswer(answer.load, working, now, call->policy->router.eject,
+                     Jitter());
+  // No more comes back than went down, whatever the peer says.
+  call->permits += std::min(answer.permits, call->permits_sent);
+  OnAttemptEnd(call, answer, now);
+}
+
+void Router::OnAttemptEnd(const CallPtr& call, const Answer& answer,
+                          Millis now) {
+  auto outcome = static_cast<Outcome>(answer.outcome);
+  auto reason = static_cast<Reason>(answer.reason);
+  if (outcome == Outcome::kAnswered) {
+    return Finish(*call, outcome, reason, now, &answer);
+  }
+  if (outcome == Outcome::kUnknown) call->maybe_ran = true;
+  if (MayRetry(*call, outcome, reason, now)) {
+    --call->permits;
+    ++counts_.retries;
+    return Attempt(call, now);
+  }
+  Outcome told = call->maybe_ran ? Outcome::kUnknown : outcome;
+  Finish(*call, told, reason, now, &answer);
+}
+
+void Router::OnAttemptLost(const CallPtr& call, Reason reason, Millis now) {
+  by_message_.erase(call->message_id);
+  call->message_id = 0;
+  call->maybe_ran = true;
+  ++counts_.permits_lost;
+  if (MayRetry(*call, Outcome::kUnknown, reason, now)) {
+    --call->permits;
+    ++counts_.retries;
+    return Attempt(call, now);
+  }
+  Finish(*call, Outcome::kUnknown, reason, now);
+}
+
+void Router::OnLinkUp(const links::Welcome& welcome, Millis now) {
+  Link& link = linked_[welcome.host];
+  Machine* machine = directory_.Reach(welcome.host);
+  bool other = link.incarnation != 0 && link.incarnation != welcome.incarnation;
+  if (machine != nullptr && other) machine->OnReturn();
+  link.session = welcome.session;
+  link.incarnation = welcome.incarnation;
+  std::vector<CallPtr> waiting;
+  for (const auto& [id, call] : parked_) waiting.push_back(call);
+  for (const CallPtr& call : waiting) {
+    // Parked again by Attempt if no link serves it.
+    parked_.erase(call->id);
+    Attempt(call, now);
+  }
+}
+
+void Router::OnLinkDown(const std::string& host, Millis now) {
+  auto link = linked_.find(host);
+  if (link != linked_.end()) link->second.session = 0;
+  std::vector<CallPtr> lost;
+  for (const auto& [id, call] : by_message_) {
+    if (call->at->name() == host) lost.push_back(call);
+  }
+  for (const CallPtr& call : lost) {
+    call->at->OnFailure(now, call->policy->router.eject, Jitter());
+  }
+  Machine* machine = directory_.Reach(host);
+  if (machine != nullptr) {
+    machine->OnUnreachable(now, zones::EjectOptions(), Jitter());
+  }
+  for (const CallPtr& call : lost) {
+    OnAttemptLost(call, Reason::kLinkLost, now);
+  }
+}
+
+void Router::OnLeaving(const std::string& host) {
+  if (Machine* machine = directory_.FindHost(host)) machine->OnLeaving();
+}
+
+void Router::Cancel(uint64_t id, Millis now) {
+  auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  CallPtr call = it->second;
+  if (call->message_id != 0) {
+    uint64_t message = call->message_id;
+    by_message_.erase(message);
+    call->message_id = 0;
+    call->at->OnAbandoned();
+    if (IsLocal(*call->at)) {
+      events_.CancelLocal(message);
+    } else {
+      auto link = linked_.find(call->at->name());
+      uint64_t session = link == linked_.end() ? 0 : link->second.session;
+      links_.Send(call->at->name(), links::Cancel{session, message});
+    }
+    call->maybe_ran = true;
+  }
+  EndUnsent(*call, Reason::kCancelled, now);
+}
+
+void Router::Tick(Millis now) {
+  std::vector<CallPtr> due;
+  for (const auto& [id, call] : calls_) {
+    bool parked = parked_.count(id) != 0 && now >= call->parked_until;
+    if (call->request->deadline <= now || parked) due.push_back(call);
+  }
+  for (const CallPtr& call : due) {
+    if (calls_.count(call->id) == 0) continue;
+    if (call->message_id == 0) {
+      bool late = call->request->deadline <= now;
+      EndUnsent(*call, late ? Reason::kDeadline : Reason::kNoHost, now);
+      continue;
+    }
+    // The gate is told to stop, and its silence counts against it.
+    MachinePtr at = call->at;
+    uint64_t message = call->message_id;
+    at->OnFailure(now, call->policy->router.eject, Jitter());
+    if (IsLocal(*at)) {
+      by_message_.erase(message);
+      call->message_id = 0;
+      events_.CancelLocal(message);
+    } else {
+      uint64_t session = linked_[at->name()].session;
+      links_.Send(at->name(), links::Cancel{session, message});
+    }
+    OnAttemptLost(call, Reason::kTimeout, now);
+  }
+}
+
+}  // namespace almondwind::node
--- /dev/null
+++ b/almondwind/node/router.h
@@ -0,0 +1,166 @@
+// The half of a node that chooses where a call goes, and what becomes of it.
+//
+// A call is one request to one service: an entry request of a caller, a call
+// that an upstream makes for a run, or the asking for a contract. The router
+// picks a machine, sends, and on a refusal or failure tries another one while
+// retry permits last.
+//
+// Permits bound the retries of a user request over its whole chain. They are
+// conserved: the entry mints them once, a call carries some of them down, and
+// its answer brings back what was not spent. One that is lost with a message
+// is lost, so the bound holds under any loss, repetition or pause.
+//
+// Outcomes. "Not run" is said only when no attempt was ever sent, or each one
+// sent was refused by its gate. An order under a contract may have been sent
+// by another node before, so of it only its gate may say "not run".
+//
+// Ids of messages are never used twice in the life of the process, so a late
+// answer finds no call and is dropped.
+//
+// Bounds: Options::calls calls in progress, Options::parked waiting for a
+// link; beyond them a call is refused unsent. Not thread-safe; Node guards it.
+#ifndef ALMONDWIND_NODE_ROUTER_H_
+#define ALMONDWIND_NODE_ROUTER_H_
+
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "almondwind/node/shell.h"
+#include "almondwind/teams/policy.h"
+#include "almondwind/zones/directory.h"
+#include "almondwind/zones/picker.h"
+
+namespace almondwind::node {
+
+// What became of a call.
+struct CallResult {
+  base::Outcome outcome = base::Outcome::kUnknown;
+  base::Reason reason = base::Reason::kNone;
+  links::Answer answer;  // of the last attempt that got one
+  uint32_t permits = 0;  // unspent
+  base::Millis retry_after{0};
+};
+
+struct Call : public boost::intrusive_ref_counter<Call> {
+  uint64_t id = 0;          // of the call, over all attempts
+  uint64_t caller = 0;      // 0: none
+  uint64_t parent_run = 0;  // 0: an entry request
+  links::CallKind kind = links::CallKind::kRequest;
+  machines::RequestPtr request;
+  uint32_t permits = 0;       // at hand; those sent along are not counted
+  uint32_t permits_sent = 0;  // with the attempt in progress
+  std::string fixed_host;     // of a contract; empty: any
+  bool in_window = false;     // counted by the entry window of its route
+
+  // Kept by the router.
+  std::shared_ptr<const teams::ServicePolicy> policy;
+  std::vector<std::string> tried;
+  bool maybe_ran = false;   // an attempt ended unknown
+  zones::MachinePtr at;     // of the attempt in progress
+  uint64_t message_id = 0;  // of the attempt in progress, 0: none
+  uint32_t attempts = 0;
+  base::Millis parked_until{0};
+};
+using CallPtr = boost::intrusive_ptr<Call>;
+
+class RouterEvents {
+ public:
+  virtual ~RouterEvents() = default;
+  virtual void Finished(Call& call, const CallResult& result) = 0;
+  // A call or cancellation for the own gate.
+  virtual void SendLocal(const links::Call& call) = 0;
+  virtual void CancelLocal(uint64_t id) = 0;
+};
+
+struct RouterLimits {
+  size_t calls = 20'000;
+  size_t parked = 2'000;
+  // How long a call waits for a link to be made.
+  base::Millis dial_patience{300};
+};
+
+struct RouterCounts {
+  uint64_t attempts = 0;
+  uint64_t retries = 0;
+  uint64_t late_answers = 0;
+  uint64_t permits_lost = 0;
+};
+
+class Router {
+ public:
+  Router(zones::DirectoryOptions directory, RouterLimits limits, Links& links,
+         RouterEvents& events, DecisionLog& log, uint64_t seed);
+
+  void Start(const CallPtr& call, base::Millis now);
+  // The caller went away: nothing more is sent, and what was sent is
+  // cancelled down the chain.
+  void Cancel(uint64_t call, base::Millis now);
+  void OnAnswer(const std::string& host, const links::Answer& answer,
+                base::Millis now);
+  void OnLinkUp(const links::Welcome& welcome, base::Millis now);
+  void OnLinkDown(const std::string& host, base::Millis now);
+  void OnLeaving(const std::string& host);
+  void Tick(base::Millis now);
+
+  zones::Directory& directory() { return directory_; }
+  const zones::Directory& directory() const { return directory_; }
+  const RouterCounts& counts() const { return counts_; }
+  size_t call_count() const { return calls_.size(); }
+  size_t parked_count() const { return parked_.size(); }
+
+ private:
+  enum class Choice : uint8_t { kChosen, kDialling, kOverloaded, kNone };
+  struct Link {
+    uint64_t session = 0;
+    uint64_t incarnation = 0;
+  };
+
+  void Attempt(const CallPtr& call, base::Millis now);
+  Choice Choose(Call& call, base::Millis now, zones::MachinePtr& chosen,
+                Decision& decision);
+  Choice ChooseFixed(Call& call, zones::MachinePtr& chosen);
+  bool IsLocal(const zones::Machine& machine) const;
+  bool SendTo(Call& call, const zones::MachinePtr& machine, base::Millis now);
+  void Park(const CallPtr& call, base::Millis now);
+  void Finish(Call& call, base::Outcome outcome, base::Reason reason,
+              base::Millis now, const links::Answer* answer = nullptr);
+  void EndUnsent(Call& call, base::Reason reason, base::Millis now);
+  void OnAttemptEnd(const CallPtr& call, const links::Answer& answer,
+                    base::Millis now);
+  void OnAttemptLost(const CallPtr& call, base::Reason reason,
+                     base::Millis now);
+  bool MayRetry(const Call& call, base::Outcome outcome, base::Reason reason,
+                base::Millis now) const;
+  void LogRoute(const Call& call, Decision& decision);
+  const zones::Picker& PickerNamed(const std::string& name);
+  double Jitter();
+
+  RouterLimits limits_;
+  Links& links_;
+  RouterEvents& events_;
+  DecisionLog& log_;
+  zones::Directory directory_;
+  std::string self_;
+  std::string zone_;
+  std::string region_;
+  zones::Random random_;
+  std::map<std::string, std::unique_ptr<zones::Picker>> pickers_;
+  std::unordered_map<std::string, Link> linked_;
+  std::unordered_map<uint64_t, CallPtr> calls_;       // by call id
+  std::unordered_map<uint64_t, CallPtr> by_message_;  // by message id
+  std::unordered_map<uint64_t, CallPtr> parked_;      // by call id
+  uint64_t next_message_ = 1;
+  RouterCounts counts_;
+};
+
+// Whether `reason` means that a gate refused for load.
+bool IsLoadRefusal(base::Reason reason);
+
+}  // namespace almondwind::node
+
+#endif  // ALMONDWIND_NODE_ROUTER_H_
--- /dev/null
+++ b/almondwind/standins/http_server.h
@@ -0,0 +1,43 @@
+// Small HTTP server for the stand-ins: one coroutine a connection, all on one
+// thread, so that stand-ins need no locks.
+#ifndef ALMONDWIND_STANDINS_HTTP_SERVER_H_
+#define ALMONDWIND_STANDINS_HTTP_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/spawn.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "almondwind/links/http_client.h"
+
+namespace almondwind::standins {
+
+struct ServedRequest {
+  const links::HttpRequest& request;
+  boost::beast::tcp_stream& stream;
+  boost::asio::yield_context& yield;
+};
+
+// Returns false to close the connection without an answer.
+using Handler = std::function<bool(ServedRequest&, links::HttpResponse&)>;
+
+struct ServerBounds {
+  int connections = 100'000;
+};
+
+// Serves `address` ("ip:port") until the io_context stops.
+void Serve(boost::asio::io_context& io, const std::string& address,
+           ServerBounds bounds, Handler handler);
+
+// Returns the parameters behind "?" of a target, without decoding.
+std::map<std::string, std::string> Parameters(const std::string& target);
+
+// Returns the path of a target.
+std::string PathOf(const std::string& target);
+
+}  // namespace almondwind::standins
+
+#endif  // ALMONDWIND_STANDINS_HTTP_SERVER_H_
--- /dev/null
+++ b/almondwind/standins/main.cc
@@ -0,0 +1,82 @@
+// One program for all stand-ins: upstreams, the platform, a relay that cuts
+// or delays, and the layout of a graph as settings and values.
+
+#include <CLI/CLI.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <iostream>
+
+#include "almondwind/standins/graph.h"
+#include "almondwind/standins/platform.h"
+#include "almondwind/standins/relay.h"
+#include "almondwind/standins/upstreams.h"
+
+namespace {
+
+int RunUntilSignal(boost::asio::io_context& io) {
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&io](boost::system::error_code, int) { io.stop(); });
+  io.run();
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  using almondwind::standins::ReadGraph;
+  CLI::App app("stand-ins for what surrounds almondwind");
+  app.require_subcommand(1);
+  std::string graph_file;
+  std::string folder;
+  std::string policy;
+  std::string log_level = "warn";
+  bool direct = false;
+  std::vector<std::string> ways;
+  std::string admin;
+  boost::asio::io_context io(1);
+
+  auto* layout = app.add_subcommand("layout", "write settings and values");
+  layout->add_option("--graph", graph_file)->required();
+  layout->add_option("--policy", policy)->required();
+  layout->add_option("--out", folder)->required();
+  layout->add_option("--log", log_level);
+  layout->callback([&] {
+    almondwind::standins::WriteLayout(ReadGraph(graph_file), policy, folder,
+                                      log_level);
+  });
+
+  auto* upstreams = app.add_subcommand("upstreams", "all back ends");
+  upstreams->add_option("--graph", graph_file)->required();
+  upstreams->add_flag("--direct", direct, "call down without nodes");
+  upstreams->callback([&] {
+    almondwind::standins::ServeUpstreams(io, ReadGraph(graph_file), direct);
+    RunUntilSignal(io);
+  });
+
+  auto* platform = app.add_subcommand("platform", "configuration service");
+  platform->add_option("--graph", graph_file)->required();
+  platform->add_option("--values", folder)->required();
+  platform->callback([&] {
+    auto graph = ReadGraph(graph_file);
+    almondwind::standins::ServePlatform(io, graph.Platform(), folder);
+    RunUntilSignal(io);
+  });
+
+  auto* relay = app.add_subcommand("relay", "cuts or delays TCP ways");
+  relay->add_option("--way", ways, "FROM=TO, both IP:PORT")->required();
+  relay->add_option("--admin", admin)->required();
+  relay->callback([&] {
+    almondwind::standins::ServeRelay(io, ways, admin);
+    RunUntilSignal(io);
+  });
+
+  try {
+    app.parse(argc, argv);
+  } catch (const CLI::ParseError& e) {
+    return app.exit(e);
+  } catch (const std::exception& e) {
+    std::cerr << "standin: " << e.what() << "\n";
+    return 2;
+  }
+  return 0;
+}
--- /dev/null
+++ b/almondwind/standins/platform.cc
@@ -0,0 +1,166 @@
+#include "almondwind/standins/platform.h"
+
+#include <boost/asio/steady_timer.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "almondwind/standins/http_server.h"
+
+namespace almondwind::standins {
+
+namespace http = boost::beast::http;
+namespace net = boost::asio;
+namespace fs = std::filesystem;
+using boost::system::error_code;
+using Clock = std::chrono::steady_clock;
+
+namespace {
+
+constexpr int kReadsPerSecond = 2000;
+constexpr size_t kMaxValueBytes = 1u << 20;
+constexpr std::chrono::milliseconds kPoll{20};
+
+struct Stored {
+  uint64_t version = 0;
+  std::string text;
+  uint64_t old_version = 0;  // what an older replica still has
+  std::string old_text;
+};
+
+class Platform {
+ public:
+  Platform(net::io_context& io, const std::string& folder) : io_(io) {
+    for (const auto& file : fs::recursive_directory_iterator(folder)) {
+      if (file.path().extension() != ".toml") continue;
+      std::ifstream in(file.path());
+      std::stringstream text;
+      text << in.rdbuf();
+      fs::path relative = fs::relative(file.path(), folder);
+      Publish("/" + relative.replace_extension().string(), text.str());
+    }
+  }
+
+  bool Serve(ServedRequest& served, links::HttpResponse& response) {
+    std::string target(served.request.target());
+    std::string path = PathOf(target);
+    auto parameters = Parameters(target);
+    if (path == "/admin/publish") {
+      Publish(parameters["path"], served.request.body());
+      response.body() = std::to_string(revision_);
+    } else if (path == "/admin/set") {
+      Set(parameters);
+    } else if (path == "/admin/stats") {
+      response.body() =
+          nlohmann::json({{"reads", reads_}, {"refused", refused_}}).dump();
+    } else if (path == "/v1/watch") {
+      return Watch(parameters, served, response);
+    } else {
+      response.result(http::status::not_found);
+    }
+    return true;
+  }
+
+ private:
+  void Publish(const std::string& path, const std::string& text) {
+    if (text.size() > kMaxValueBytes) return;
+    Stored& stored = values_[path];
+    stored.old_version = stored.version;
+    stored.old_text = stored.text;
+    stored.version = ++revision_;
+    stored.text = text;
+  }
+
+  void Set(const std::map<std::string, std::string>& parameters) {
+    for (const auto& [name, text] : parameters) {
+      int value = std::atoi(text.c_str());
+      if (name == "down") down_ = value != 0;
+      if (name == "freeze") frozen_at_ = value != 0 ? revision_ : 0;
+      if (name == "older") older_ = value != 0;
+      if (name == "lag_ms") lag_ms_ = value;
+    }
+  }
+
+  bool Admit() {
+    ++reads_;
+    auto now = Clock::now();
+    if (now - second_from_ > std::chrono::seconds(1)) {
+      second_from_ = now;
+      in_second_ = 0;
+    }
+    if (++in_second_ <= kReadsPerSecond) return true;
+    ++refused_;
+    return false;
+  }
+
+  bool Watch(std::map<std::string, std::string>& parameters,
+             ServedRequest& served, links::HttpResponse& response) {
+    if (down_) return false;
+    if (!Admit()) {
+      response.result(http::status::too_many_requests);
+      return true;
+    }
+    auto since = static_cast<uint64_t>(std::atoll(parameters["since"].c_str()));
+    auto until = Clock::now() + std::chrono::milliseconds(
+                                    std::atoi(parameters["wait_ms"].c_str()));
+    net::steady_timer timer(io_);
+    error_code ec;
+    while (Shown() == since && Clock::now() < until && !down_) {
+      timer.expires_after(kPoll);
+      timer.async_wait(served.yield[ec]);
+    }
+    if (lag_ms_ > 0) {
+      timer.expires_after(std::chrono::milliseconds(lag_ms_));
+      timer.async_wait(served.yield[ec]);
+    }
+    if (down_) return false;
+    response.body() = Values(since);
+    response.set(http::field::content_type, "application/json");
+    return true;
+  }
+
+  uint64_t Shown() const { return frozen_at_ > 0 ? frozen_at_ : revision_; }
+
+  std::string Values(uint64_t since) const {
+    nlohmann::json out = {{"revision", Shown()},
+                          {"values", nlohmann::json::array()}};
+    for (const auto& [path, stored] : values_) {
+      bool old = older_ && stored.old_version > 0;
+      uint64_t version = old ? stored.old_version : stored.version;
+      if (version > Shown() || (version <= since && !older_)) continue;
+      out["values"].push_back({{"path", path},
+                               {"version", version},
+                               {"text", old ? stored.old_text : stored.text}});
+    }
+    return out.dump();
+  }
+
+  net::io_context& io_;
+  std::map<std::string, Stored> values_;
+  uint64_t revision_ = 0;
+  bool down_ = false;
+  bool older_ = false;
+  uint64_t frozen_at_ = 0;
+  int lag_ms_ = 0;
+  uint64_t reads_ = 0;
+  uint64_t refused_ = 0;
+  int in_second_ = 0;
+  Clock::time_point second_from_;
+};
+
+}  // namespace
+
+void ServePlatform(net::io_context& io, const std::string& address,
+                   const std::string& folder) {
+  // Lives as long as the io_context's handlers: until the process ends.
+  static Platform platform(io, folder);
+  Serve(io, address, {}, [](ServedRequest& served, links::HttpResponse& r) {
+    return platform.Serve(served, r);
+  });
+}
+
+}  // namespace almondwind::standins
--- /dev/null
+++ b/almondwind/standins/relay.cc
@@ -0,0 +1,109 @@
+#include "almondwind/standins/relay.h"
+
+#include <array>
+#include <boost/asio/spawn.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <chrono>
+#include <cstdlib>
+#include <memory>
+
+#include "almondwind/links/mesh.h"
+#include "almondwind/standins/http_server.h"
+
+namespace almondwind::standins {
+
+namespace net = boost::asio;
+using boost::system::error_code;
+using Socket = net::ip::tcp::socket;
+
+namespace {
+
+struct Network {
+  bool cut = false;
+  int delay_ms = 0;
+};
+
+Network& TheNetwork() {
+  static Network network;
+  return network;
+}
+
+// Forwards one direction. A cut way swallows nothing: bytes wait until it
+// heals, as TCP would keep them, or until the ends give up.
+void Pump(const std::shared_ptr<Socket>& from,
+          const std::shared_ptr<Socket>& to, net::io_context& io,
+          net::yield_context yield) {
+  std::array<char, 16384> buffer{};
+  net::steady_timer timer(io);
+  error_code ec;
+  while (true) {
+    size_t got = from->async_read_some(net::buffer(buffer), yield[ec]);
+    if (ec) break;
+    int delay = TheNetwork().delay_ms;
+    do {
+      timer.expires_after(std::chrono::milliseconds(delay));
+      if (delay > 0) timer.async_wait(yield[ec]);
+      delay = 20;
+    } while (TheNetwork().cut);
+    net::async_write(*to, net::buffer(buffer, got), yield[ec]);
+    if (ec) break;
+  }
+  from->close(ec);
+  to->close(ec);
+}
+
+void Forward(net::io_context& io, const std::shared_ptr<Socket>& from,
+             const std::string& address, net::yield_context yield) {
+  auto to = std::make_shared<Socket>(io);
+  error_code ec;
+  net::steady_timer timer(io);
+  while (TheNetwork().cut) {
+    timer.expires_after(std::chrono::milliseconds(20));
+    timer.async_wait(yield[ec]);
+  }
+  to->async_connect(links::ParseEndpoint(address), yield[ec]);
+  if (ec) return;
+  from->set_option(net::ip::tcp::no_delay(true), ec);
+  to->set_option(net::ip::tcp::no_delay(true), ec);
+  net::spawn(io,
+             [from, to, &io](net::yield_context y) { Pump(to, from, io, y); });
+  Pump(from, to, io, yield);
+}
+
+void ServeWay(net::io_context& io, const std::string& way) {
+  size_t equals = way.find('=');
+  auto acceptor = std::make_shared<net::ip::tcp::acceptor>(
+      io, links::ParseEndpoint(way.substr(0, equals)));
+  std::string to = way.substr(equals + 1);
+  net::spawn(io, [&io, acceptor, to](net::yield_context yield) {
+    while (true) {
+      error_code ec;
+      auto socket = std::make_shared<Socket>(io);
+      acceptor->async_accept(*socket, yield[ec]);
+      if (ec) return;
+      net::spawn(io, [&io, socket, to](net::yield_context y) {
+        Forward(io, socket, to, y);
+      });
+    }
+  });
+}
+
+}  // namespace
+
+void ServeRelay(net::io_context& io, const std::vector<std::string>& ways,
+                const std::string& admin) {
+  for (const std::string& way : ways) ServeWay(io, way);
+  Serve(io, admin, {}, [](ServedRequest& served, links::HttpResponse&) {
+    auto parameters = Parameters(std::string(served.request.target()));
+    if (parameters.count("cut") != 0) {
+      TheNetwork().cut = parameters["cut"] == "1";
+    }
+    if (parameters.count("delay_ms") != 0) {
+      TheNetwork().delay_ms = std::atoi(parameters["delay_ms"].c_str());
+    }
+    return true;
+  });
+}
+
+}  // namespace almondwind::standins
--- /dev/null
+++ b/almondwind/teams/knob.h
@@ -0,0 +1,120 @@
+// Tables of knobs: the one place where a setting's path, type, unit, range,
+// default and meaning stand.
+//
+// The same table checks a TOML document, fills the options and prints the
+// reference page, so that they cannot disagree:
+//
+//   ReadKnobs(kGateKnobs, table, "services.pricing.gate", options);
+//
+// A fault throws SettingsError with the file, line and path and the remedy;
+// an unknown key is refused with the nearest known name.
+#ifndef ALMONDWIND_TEAMS_KNOB_H_
+#define ALMONDWIND_TEAMS_KNOB_H_
+
+#include <toml++/toml.h>
+
+#include <cstdint>
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace almondwind::teams {
+
+// A fault in a settings or policy document.
+class SettingsError : public std::runtime_error {
+ public:
+  SettingsError(const std::string& path, uint32_t line,
+                const std::string& fault, const std::string& remedy);
+  const std::string& path() const { return path_; }
+  uint32_t line() const { return line_; }
+
+ private:
+  std::string path_;
+  uint32_t line_;
+};
+
+enum class KnobType : uint8_t { kInteger, kBoolean, kText, kChoice };
+
+template <typename Options>
+struct Knob {
+  std::string_view name;
+  KnobType type;
+  std::string_view unit;      // "ms", "requests", ... or ""
+  int64_t min;                // of an integer
+  int64_t max;                // of an integer; longest length of a text
+  std::string_view choices;   // of a choice, joined by "|"
+  std::string_view fallback;  // default, as the page prints it
+  std::string_view help;
+  void (*set_integer)(Options&, int64_t);
+  void (*set_text)(Options&, const std::string&);
+};
+
+// What of a knob does not depend on the options it fills.
+struct KnobShape {
+  std::string_view name;
+  KnobType type;
+  std::string_view unit;
+  int64_t min;
+  int64_t max;
+  std::string_view choices;
+  std::string_view fallback;
+  std::string_view help;
+};
+
+template <typename Options>
+KnobShape ShapeOf(const Knob<Options>& k) {
+  return {k.name, k.type, k.unit, k.min, k.max, k.choices, k.fallback, k.help};
+}
+
+// Returns the checked value of an integer or boolean. Throws SettingsError.
+int64_t CheckInteger(const KnobShape& shape, const toml::node& node,
+                     const std::string& path);
+// Returns the checked value of a text or choice. Throws SettingsError.
+std::string CheckText(const KnobShape& shape, const toml::node& node,
+                      const std::string& path);
+// Throws SettingsError unless `key` is one of `known`.
+void RefuseUnknown(std::string_view key, const std::vector<std::string>& known,
+                   const toml::node& node, const std::string& path);
+// Returns the table called `key`, null if absent. Throws if it is no table.
+const toml::table* SubTable(const toml::table& table, std::string_view key,
+                            const std::string& path);
+// Parses a document. Throws SettingsError with the line of the fault.
+toml::table ParseToml(std::string_view text, const std::string& path);
+// Returns rows of a Markdown table for the reference page.
+std::string KnobRow(const KnobShape& shape, const std::string& path);
+
+// Fills `options` from the keys of `table` that `knobs` names. Keys in
+// `others` are left to the caller; any other key throws.
+template <typename Options, size_t N>
+void ReadKnobs(const std::array<Knob<Options>, N>& knobs,
+               const toml::table& table, const std::string& path,
+               Options& options, std::vector<std::string> others = {}) {
+  std::vector<std::string> known = std::move(others);
+  for (const auto& knob : knobs) known.emplace_back(knob.name);
+  for (auto&& [key, node] : table) RefuseUnknown(key.str(), known, node, path);
+  for (const auto& knob : knobs) {
+    const toml::node* node = table.get(knob.name);
+    if (node == nullptr) continue;
+    std::string where = path + "." + std::string(knob.name);
+    KnobShape shape = ShapeOf(knob);
+    if (knob.set_integer != nullptr) {
+      knob.set_integer(options, CheckInteger(shape, *node, where));
+    } else {
+      knob.set_text(options, CheckText(shape, *node, where));
+    }
+  }
+}
+
+template <typename Options, size_t N>
+std::string KnobRows(const std::array<Knob<Options>, N>& knobs,
+                     const std::string& path) {
+  std::string rows;
+  for (const auto& knob : knobs) rows += KnobRow(ShapeOf(knob), path);
+  return rows;
+}
+
+}  // namespace almondwind::teams
+
+#endif  // ALMONDWIND_TEAMS_KNOB_H_
--- /dev/null
+++ b/almondwind/zones/machine.cc
@@ -0,0 +1,108 @@
+#include "almondwind/zones/machine.h"
+
+#include <algorithm>
+
+namespace almondwind::zones {
+namespace {
+
+// A report older than this says nothing about the present.
+constexpr base::Millis kReportLife{1000};
+constexpr int kMaxDoublings = 5;
+
+}  // namespace
+
+void Machine::OnSent(base::Millis now) {
+  if (outstanding_ == 0) heard_at_ = now;
+  ++outstanding_;
+}
+
+void Machine::OnAnswer(const links::Load& load, bool working, base::Millis now,
+                       const EjectOptions& options, double jitter) {
+  outstanding_ = std::max(0, outstanding_ - 1);
+  load_ = load;
+  load_at_ = now;
+  heard_at_ = now;
+  outstanding_at_load_ = outstanding_;
+  if (!working) {
+    ++failures_;
+    if (failures_ >= options.failures) Eject(now, options, jitter);
+    return;
+  }
+  failures_ = 0;
+  ejections_ = 0;
+  ejected_until_ = base::Millis(0);
+}
+
+void Machine::OnAbandoned() { outstanding_ = std::max(0, outstanding_ - 1); }
+
+void Machine::OnFailure(base::Millis now, const EjectOptions& options,
+                        double jitter) {
+  outstanding_ = std::max(0, outstanding_ - 1);
+  ++failures_;
+  if (failures_ >= options.failures) Eject(now, options, jitter);
+}
+
+void Machine::OnUnreachable(base::Millis now, const EjectOptions& options,
+                            double jitter) {
+  failures_ = options.failures;
+  Eject(now, options, jitter);
+}
+
+void Machine::Eject(base::Millis now, const EjectOptions& options,
+                    double jitter) {
+  if (now < ejected_until_) return;
+  int64_t doubled = options.base.count() << std::min(ejections_, kMaxDoublings);
+  int64_t away = std::min(options.max.count(), doubled);
+  away += static_cast<int64_t>(static_cast<double>(away) * jitter / 2);
+  ejected_until_ = now + base::Millis(away);
+  ++ejections_;
+}
+
+void Machine::OnReturn() {
+  load_ = links::Load();
+  load_at_ = base::Millis(0);
+  outstanding_ = 0;
+  outstanding_at_load_ = 0;
+  failures_ = 0;
+  ejected_until_ = base::Millis(0);
+}
+
+bool Machine::Usable(base::Millis now, const EjectOptions& options) const {
+  if (now < ejected_until_) return false;
+  if (failures_ >= options.failures) return outstanding_ == 0;
+  auto longest = base::Millis(int64_t{6} * load_.service_ms);
+  base::Millis patience = std::max(options.silence, longest);
+  return outstanding_ == 0 || now - heard_at_ < patience;
+}
+
+double Machine::Wait(base::RequestClass cls, base::Millis now) const {
+  if (load_.limit == 0) return 0;
+  base::Millis age = now - load_at_;
+  double reported = load_.wait_ms[base::Index(cls)];
+  double wait = std::max(0.0, reported - static_cast<double>(age.count()));
+  int sent_since = std::max(0, outstanding_ - outstanding_at_load_);
+  double busy = age > kReportLife ? 0 : load_.in_progress;
+  double over = busy + sent_since + 1 - load_.limit;
+  double extra = std::min<double>(over, sent_since + 1);
+  if (extra > 0) wait += extra * load_.service_ms / load_.limit;
+  return wait;
+}
+
+base::Millis Machine::RetryAfter(base::RequestClass cls,
+                                 base::Millis now) const {
+  base::Millis reported(load_.retry_after_ms[base::Index(cls)]);
+  return std::max(base::Millis(0), reported - (now - load_at_));
+}
+
+double Machine::Expected(base::RequestClass cls, base::Millis now) const {
+  double wait = Wait(cls, now);
+  if (load_.limit == 0) return wait;
+  // Below the limit no wait tells two machines apart; the share in use does.
+  bool old = now - load_at_ > kReportLife;
+  double busy = old ? outstanding_ : load_.in_progress;
+  int sent_since = std::max(0, outstanding_ - outstanding_at_load_);
+  double share = (busy + sent_since) / load_.limit;
+  return wait + load_.service_ms * (1 + 0.25 * std::min(1.0, share));
+}
+
+}  // namespace almondwind::zones
