Prove the promises by stateful fuzzing against plain counters

Cause: the promises had mechanisms but no proof. Change: several real nodes with a virtual clock and links in memory, 25 commands (loss, copies, reordering, late frames, cuts, pauses, restarts, leaving, bad and older configuration, platform outages), one case a promise; sessions start at a random number so that none returns after a restart; a routing decision is logged once it was really sent.

--- a/almondwind/node/router.cc
+++ b/almondwind/node/router.cc
@@ -157,9 +157,7 @@
         return EndUnsent(*call, Reason::kNoHost, now);
     }
     call->tried.push_back(machine->name());
-    decision.host = machine->name();
-    LogRoute(*call, decision);
-    if (SendTo(*call, machine, now)) return;
+    if (SendTo(*call, machine, now, decision)) return;
     machine->OnUnreachable(now, call->policy->router.eject, Jitter());
   }
 }
@@ -172,7 +170,8 @@
   log_.Write(decision);
 }
 
-bool Router::SendTo(Call& call, const MachinePtr& machine, Millis now) {
+bool Router::SendTo(Call& call, const MachinePtr& machine, Millis now,
+                    Decision& decision) {
   const machines::Request& request = *call.request;
   links::Call out;
   out.id = next_message_++;
@@ -205,6 +204,8 @@
     }
   }
   machine->OnSent(now);
+  decision.host = machine->name();
+  LogRoute(call, decision);
   ++counts_.attempts;
   ++call.attempts;
   call.permits = keep;
--- a/almondwind/node/router.h
+++ b/almondwind/node/router.h
@@ -125,7 +125,8 @@
                 Decision& decision);
   Choice ChooseFixed(Call& call, zones::MachinePtr& chosen);
   bool IsLocal(const zones::Machine& machine) const;
-  bool SendTo(Call& call, const zones::MachinePtr& machine, base::Millis now);
+  bool SendTo(Call& call, const zones::MachinePtr& machine, base::Millis now,
+              Decision& decision);
   void Park(const CallPtr& call, base::Millis now);
   void Finish(Call& call, base::Outcome outcome, base::Reason reason,
               base::Millis now, const links::Answer* answer = nullptr);
--- a/almondwind/node/server.cc
+++ b/almondwind/node/server.cc
@@ -27,7 +27,8 @@
       log_(log),
       ledger_(options_.host, incarnation, options_.ledger, entropy),
       gate_(options_.slots, options_.connections, machines::GateOptions(),
-            *this) {}
+            *this),
+      next_session_((entropy.Next() >> 2) + 1) {}
 
 uint64_t Server::OpenSession(const links::Hello& hello, Millis now) {
   if (sessions_.size() >= options_.sessions) return 0;
--- a/almondwind/node/server.h
+++ b/almondwind/node/server.h
@@ -120,7 +120,8 @@
   DecisionLog& log_;
   contracts::Ledger ledger_;
   machines::Gate gate_;
-  uint64_t next_session_ = 1;
+  // Starts at random, so that no session of an earlier incarnation returns.
+  uint64_t next_session_;
   uint64_t next_run_ = 1;
   base::Millis now_{0};  // of the event in progress
   std::unordered_map<uint64_t, Session> sessions_;
--- /dev/null
+++ b/almondwind/node/testing/cluster.cc
@@ -0,0 +1,605 @@
+#include "almondwind/node/testing/cluster.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+
+namespace almondwind::node::testing {
+
+using base::Millis;
+using base::Outcome;
+using base::Reason;
+
+namespace {
+
+constexpr int64_t kStepMs = 5;
+constexpr Millis kServiceTime{10};
+constexpr Millis kSlowServiceTime{400};
+constexpr Millis kReadInterval{500};
+constexpr Millis kLeavingPatience{3000};
+constexpr size_t kMaxWire = 200'000;
+
+std::string ServiceName(size_t service) {
+  return "team/s" + std::to_string(service);
+}
+
+}  // namespace
+
+LinkState FakeShell::Prepare(const zones::HostEntry& entry) {
+  auto& self = cluster_.hosts_[host_];
+  Cluster::Link& link = self.links[entry.name];
+  if (link.state != LinkState::kDown) return link.state;
+  link.state = LinkState::kDialling;
+  link.number = cluster_.next_link_++;
+  links::Hello hello;
+  hello.host = self.name;
+  hello.sent_at_ms = self.clock->Now().count();
+  cluster_.wire_.push_back({Cluster::PacketKind::kToGate, host_,
+                            cluster_.IndexOf(entry.name), link.number,
+                            links::Encode(hello)});
+  return link.state;
+}
+
+bool FakeShell::Send(const std::string& host, const links::Message& message) {
+  Cluster::Link& link = cluster_.hosts_[host_].links[host];
+  if (link.state != LinkState::kUp) return false;
+  cluster_.wire_.push_back({Cluster::PacketKind::kToGate, host_,
+                            cluster_.IndexOf(host), link.number,
+                            links::Encode(message)});
+  return true;
+}
+
+void FakeShell::Reply(uint64_t session, const links::Message& message) {
+  auto& sessions = cluster_.hosts_[host_].sessions;
+  auto it = sessions.find(session);
+  if (it == sessions.end()) return;
+  cluster_.wire_.push_back({Cluster::PacketKind::kToRouter, host_,
+                            it->second.first, it->second.second,
+                            links::Encode(message)});
+}
+
+void FakeShell::Start(uint64_t run, const machines::Request& request,
+                      const std::string& request_id, Millis) {
+  auto& host = cluster_.hosts_[host_];
+  Oracle& oracle = cluster_.oracle_;
+  Cluster::Running running;
+  running.token = request.body;
+  running.request_id = request_id;
+  running.service = host.service;
+  running.order = request.order;
+  running.leaf =
+      request.order || host.service + 1 == cluster_.shape_.services;
+  running.fate = cluster_.modes_[host.service];
+  bool slow = running.fate == Mode::kSlow;
+  running.ends_at =
+      cluster_.now() + (slow ? kSlowServiceTime : kServiceTime);
+  bool acts = running.leaf && running.fate != Mode::kSheds;
+  if (acts) {
+    ++oracle.effects[running.token];
+    if (oracle.told_not_run.count(running.token) != 0) {
+      cluster_.Fault("ran after not run was told: " + running.token);
+    }
+  }
+  if (acts && request.order) {
+    if (++oracle.key_runs[request.key] > 1) {
+      cluster_.Fault("an order ran twice: " + request.key);
+    }
+    if (oracle.key_not_run.count(request.key) != 0) {
+      cluster_.Fault("an order ran after not run was told: " + request.key);
+    }
+  }
+  bool late = host.leaving && cluster_.now() - host.left_at > kLeavingPatience;
+  if (late) cluster_.Fault("new work at a leaving upstream: " + host.name);
+  host.runs[run] = running;
+}
+
+void FakeShell::Cancel(uint64_t run) { cluster_.hosts_[host_].runs.erase(run); }
+
+void FakeShell::Answer(uint64_t caller, const node::Reply& reply) {
+  cluster_.OnAnswer(caller, reply);
+}
+
+void FakeShell::SendControl(const std::string& address,
+                            const std::string& bytes) {
+  cluster_.wire_.push_back({Cluster::PacketKind::kControl, host_,
+                            cluster_.IndexOf(address), 0, bytes});
+}
+
+void FakeShell::Write(const Decision& decision) {
+  auto& host = cluster_.hosts_[host_];
+  if (decision.request == nullptr || host.node == nullptr) return;
+  const machines::Request& request = *decision.request;
+  if (decision.what == "retry") {
+    // Attempts beyond the first of a call are the ones that cost a permit,
+    // but for those of which nothing was sent.
+    ++cluster_.oracle_.retries[request.id];
+  }
+  const machines::Gate& gate = host.node->server().gate();
+  size_t lower = 0;
+  for (size_t c = base::Index(request.cls) + 1; c < base::kClassCount; ++c) {
+    lower += gate.queued(static_cast<base::RequestClass>(c));
+  }
+  if (decision.what == "refuse" && IsLoadRefusal(decision.reason) &&
+      lower > 0) {
+    cluster_.Fault("refused while a lower class waits: " + request.id);
+  }
+  size_t higher = 0;
+  for (size_t c = 0; c < base::Index(request.cls); ++c) {
+    higher += gate.queued(static_cast<base::RequestClass>(c));
+  }
+  if (decision.what == "admit" && higher > 0) {
+    cluster_.Fault("started while a higher class waits: " + request.id);
+  }
+}
+
+Cluster::Cluster(const Shape& shape, uint64_t seed)
+    : shape_(shape), modes_(shape.services, Mode::kNormal), seed_(seed) {
+  hosts_.resize(shape.services * shape.hosts);
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    Host& host = hosts_[i];
+    host.service = i / shape.hosts;
+    host.zone_index = i % shape.zones;
+    host.zone = "z" + std::to_string(host.zone_index);
+    host.name = fmt::format("h{}", i);
+    // Clocks of hosts agree on nothing but their pace.
+    host.clock = std::make_unique<HostClock>(
+        clock_, static_cast<int64_t>(i) * 1'000'000);
+    host.shell = std::make_unique<FakeShell>(*this, i);
+  }
+  Publish("/teams/team", PolicyText(kRetries));
+  for (size_t s = 0; s < shape.services; ++s) {
+    Publish("/hosts/" + ServiceName(s), HostsText(s));
+  }
+  for (Host& host : hosts_) Boot(host);
+  Advance(3000);
+}
+
+Cluster::~Cluster() = default;
+
+std::string Cluster::PolicyText(int retries) const {
+  std::string text;
+  for (size_t s = 0; s < shape_.services; ++s) {
+    text += fmt::format(
+        "[services.s{0}.router]\nretries = {1}\n"
+        "[[services.s{0}.routes]]\nname = \"order\"\nmethod = \"POST\"\n"
+        "prefix = \"/order\"\nclass = \"critical\"\norder = true\n"
+        "[[services.s{0}.routes]]\nname = \"read\"\nclass = \"critical\"\n"
+        "idempotent = true\n",
+        s, retries);
+  }
+  return text;
+}
+
+std::string Cluster::HostsText(size_t service) const {
+  std::string text;
+  for (const Host& host : hosts_) {
+    if (host.service != service) continue;
+    text += fmt::format(
+        "[[hosts]]\nname = \"{0}\"\nzone = \"{1}\"\nregion = \"r\"\n"
+        "link = \"{0}\"\ncontrol = \"{0}\"\n",
+        host.name, host.zone);
+  }
+  return text;
+}
+
+void Cluster::Boot(Host& host) {
+  size_t index = IndexOf(host.name);
+  host.entropy = std::make_unique<base::SeededEntropy>(
+      seed_ * 1'000'003 + index * 7919 +
+      static_cast<uint64_t>(clock_.Now().count()));
+  NodeOptions options;
+  options.host = host.name;
+  options.zone = host.zone;
+  options.region = "r";
+  options.server.host = host.name;
+  options.server.service = ServiceName(host.service);
+  options.server.slots = shape_.slots;
+  options.server.connections = 100;
+  options.directory.host = host.name;
+  options.directory.zone = host.zone;
+  options.directory.region = "r";
+  options.relay.host = host.name;
+  options.relay.zone = host.zone;
+  options.relay.control = host.name;
+  options.relay.seeds = {hosts_[0].name, hosts_[1].name, hosts_[2].name};
+  host.versions.clear();
+  host.was_ready = false;
+  host.next_read = clock_.Now();
+  host.node = std::make_unique<Node>(options, *host.clock, *host.entropy,
+                                     *host.shell, *host.shell, *host.shell,
+                                     *host.shell, *host.shell);
+}
+
+size_t Cluster::IndexOf(const std::string& name) const {
+  return static_cast<size_t>(std::stoul(name.substr(1)));
+}
+
+bool Cluster::Severed(const Host& a, const Host& b) const {
+  if (a.zone_index == b.zone_index) return false;
+  return cut_.count(a.zone_index) != 0 || cut_.count(b.zone_index) != 0;
+}
+
+uint64_t Cluster::CallService(size_t host, size_t service,
+                              const std::string& token,
+                              const std::string& cls) {
+  Host& entry = Of(host);
+  uint64_t id = next_caller_++;
+  callers_[id] = {IndexOf(entry.name), token, "", 0, 0};
+  CallerRequest request;
+  request.caller = id;
+  request.method = "GET";
+  request.target = "/" + ServiceName(service % shape_.services) + "/x";
+  request.request_id = token;
+  request.request_class = cls;
+  request.body = token;
+  try {
+    entry.node->OnCallerRequest(request);
+  } catch (const base::Error& e) {
+    node::Reply reply;
+    reply.outcome = Outcome::kNotRun;
+    reply.reason = e.reason();
+    OnAnswer(id, reply);
+  }
+  return id;
+}
+
+uint64_t Cluster::Order(size_t host, const std::string& token,
+                        const std::string& contract) {
+  Host& entry = Of(host);
+  uint64_t id = next_caller_++;
+  callers_[id] = {IndexOf(entry.name), token, contract, 0, 0};
+  CallerRequest request;
+  request.caller = id;
+  request.method = "POST";
+  request.target = "/" + ServiceName(shape_.services - 1) + "/order";
+  request.key = contract;
+  request.body = token;
+  try {
+    entry.node->OnCallerRequest(request);
+  } catch (const base::Error& e) {
+    callers_.erase(id);
+  }
+  return id;
+}
+
+void Cluster::OnAnswer(uint64_t caller, const node::Reply& reply) {
+  auto it = callers_.find(caller);
+  if (++oracle_.replies[caller] > 1) Fault("two answers to one caller");
+  if (it == callers_.end()) return;
+  Caller who = it->second;
+  callers_.erase(it);
+  if (who.parent_run != 0) {
+    auto& runs = hosts_[who.parent_host].runs;
+    auto run = runs.find(who.parent_run);
+    if (run == runs.end()) return;
+    --run->second.legs_open;
+    if (reply.outcome != Outcome::kAnswered) ++run->second.legs_failed;
+    return;
+  }
+  told_[caller] = {reply.outcome, reply.reason, reply.body, reply.contract};
+  switch (reply.outcome) {
+    case Outcome::kAnswered:
+      ++oracle_.answered;
+      if (reply.body != "answer " + who.token) {
+        Fault("a wrong answer: " + reply.body + " to " + who.token);
+      }
+      return;
+    case Outcome::kUnknown:
+      ++oracle_.unknown;
+      return;
+    case Outcome::kNotRun:
+      ++oracle_.not_run;
+      break;
+  }
+  if (!who.contract.empty()) {
+    oracle_.key_not_run.insert(who.contract);
+    if (oracle_.key_runs.count(who.contract) != 0) {
+      Fault("told not run, but the order ran: " + who.contract);
+    }
+    return;
+  }
+  oracle_.told_not_run.insert(who.token);
+  if (oracle_.effects.count(who.token) != 0) {
+    Fault("told not run, but it ran: " + who.token);
+  }
+}
+
+void Cluster::Advance(int64_t ms) {
+  for (int64_t done = 0; done < ms; done += kStepMs) Step();
+}
+
+void Cluster::Step() {
+  clock_.Advance(Millis(kStepMs));
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    if (hosts_[i].paused) continue;
+    ReadPlatform(i);
+    hosts_[i].node->Tick();
+  }
+  Deliver();
+  RunUpstreams();
+  Deliver();
+  Check();
+}
+
+void Cluster::Deliver() {
+  // What cannot be delivered now waits, in order.
+  std::deque<Packet> waiting;
+  size_t budget = kMaxWire;
+  while (!wire_.empty() && budget-- > 0) {
+    Packet packet = std::move(wire_.front());
+    wire_.pop_front();
+    if (!DeliverOne(packet)) waiting.push_back(std::move(packet));
+  }
+  if (budget == 0) Fault("messages without end");
+  wire_ = std::move(waiting);
+}
+
+bool Cluster::DeliverOne(const Packet& packet) {
+  Host& to = hosts_[packet.to];
+  if (to.paused || Severed(hosts_[packet.from], to)) {
+    return packet.kind == PacketKind::kControl;  // dropped; links keep
+  }
+  switch (packet.kind) {
+    case PacketKind::kToGate:
+      ToGate(to, packet);
+      break;
+    case PacketKind::kToRouter:
+      ToRouter(to, packet);
+      break;
+    case PacketKind::kControl:
+      to.node->OnControl(packet.bytes);
+      break;
+  }
+  return true;
+}
+
+void Cluster::ToGate(Host& to, const Packet& packet) {
+  links::Message message =
+      links::Decode(std::string_view(packet.bytes).substr(4));
+  if (const auto* hello = std::get_if<links::Hello>(&message)) {
+    uint64_t session = to.node->OpenSession(*hello);
+    to.sessions[session] = {packet.from, packet.link};
+    links::Welcome welcome;
+    welcome.host = to.name;
+    welcome.incarnation = to.node->incarnation();
+    welcome.session = session;
+    wire_.push_back({PacketKind::kToRouter, packet.to, packet.from,
+                     packet.link, links::Encode(welcome)});
+    return;
+  }
+  to.node->OnRouterMessage(message);
+}
+
+void Cluster::ToRouter(Host& to, const Packet& packet) {
+  links::Message message =
+      links::Decode(std::string_view(packet.bytes).substr(4));
+  Link& link = to.links[hosts_[packet.from].name];
+  if (const auto* welcome = std::get_if<links::Welcome>(&message)) {
+    if (link.number != packet.link || link.state == LinkState::kUp) return;
+    link.state = LinkState::kUp;
+    link.session = welcome->session;
+    to.node->OnLinkUp(*welcome);
+    return;
+  }
+  to.node->OnGateMessage(hosts_[packet.from].name, message);
+}
+
+void Cluster::BreakLink(size_t from, const std::string& to) {
+  Host& dialler = hosts_[from];
+  auto it = dialler.links.find(to);
+  if (it == dialler.links.end() || it->second.state == LinkState::kDown) {
+    return;
+  }
+  uint64_t number = it->second.number;
+  it->second = Link();
+  Host& gate = hosts_[IndexOf(to)];
+  for (auto s = gate.sessions.begin(); s != gate.sessions.end(); ++s) {
+    if (s->second.second != number) continue;
+    uint64_t session = s->first;
+    gate.sessions.erase(s);
+    gate.node->CloseSession(session);
+    break;
+  }
+  dialler.node->OnLinkDown(to);
+}
+
+void Cluster::BreakLinks(size_t host) {
+  Host& broken = Of(host);
+  size_t index = IndexOf(broken.name);
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    BreakLink(i, broken.name);
+    BreakLink(index, hosts_[i].name);
+  }
+}
+
+void Cluster::RunUpstreams() {
+  for (size_t i = 0; i < hosts_.size(); ++i) {
+    if (hosts_[i].paused) continue;
+    std::vector<uint64_t> runs;
+    for (const auto& [run, state] : hosts_[i].runs) runs.push_back(run);
+    for (uint64_t run : runs) {
+      auto it = hosts_[i].runs.find(run);
+      if (it == hosts_[i].runs.end() || it->second.ends_at > now()) continue;
+      bool calls = !it->second.leaf && it->second.fate != Mode::kSheds;
+      if (calls && !it->second.called) {
+        MakeLegs(i, run);
+      } else if (it->second.legs_open == 0) {
+        EndRun(i, run);
+      }
+    }
+  }
+}
+
+void Cluster::MakeLegs(size_t host, uint64_t run) {
+  Running& state = hosts_[host].runs[run];
+  state.called = true;
+  int legs = shape_.fan_out.count(state.service) != 0 ? 2 : 1;
+  state.legs_open = legs;
+  CallerRequest request;
+  request.method = "GET";
+  request.target = "/" + ServiceName(state.service + 1) + "/x";
+  request.request_id = state.request_id;
+  request.body = state.token;
+  for (int i = 0; i < legs; ++i) {
+    request.caller = next_caller_++;
+    callers_[request.caller] = {host, request.body, "", host, run};
+    try {
+      hosts_[host].node->OnCallerRequest(request);
+    } catch (const base::Error& e) {
+      node::Reply reply;
+      reply.outcome = Outcome::kNotRun;
+      OnAnswer(request.caller, reply);
+    }
+  }
+}
+
+void Cluster::EndRun(size_t host, uint64_t run) {
+  Running state = hosts_[host].runs[run];
+  hosts_[host].runs.erase(run);
+  UpstreamEnd end;
+  if (state.fate == Mode::kCloses) {
+    end.kind = EndKind::kClosed;
+  } else if (state.fate == Mode::kSheds || state.legs_failed > 0) {
+    end.kind = EndKind::kAnswer;
+    end.status = 503;
+    // It did nothing itself; what its legs did is for the node to know.
+    end.says_not_run = true;
+  } else {
+    end.kind = EndKind::kAnswer;
+    end.status = 200;
+    end.body = "answer " + state.token;
+  }
+  hosts_[host].node->OnUpstreamEnd(run, std::move(end));
+}
+
+void Cluster::DuplicateOne(size_t pick) {
+  if (wire_.empty()) return;
+  Packet copy = wire_[pick % wire_.size()];
+  wire_.push_back(copy);
+  held_.push_back(std::move(copy));
+}
+
+void Cluster::DropOne(size_t pick) {
+  if (wire_.empty()) return;
+  wire_.erase(wire_.begin() + static_cast<ptrdiff_t>(pick % wire_.size()));
+}
+
+void Cluster::ReorderOne(size_t pick) {
+  if (wire_.empty()) return;
+  std::swap(wire_[pick % wire_.size()], wire_[pick / 7 % wire_.size()]);
+}
+
+void Cluster::HoldOne(size_t pick) {
+  if (wire_.empty()) return;
+  auto at = wire_.begin() + static_cast<ptrdiff_t>(pick % wire_.size());
+  held_.push_back(std::move(*at));
+  wire_.erase(at);
+}
+
+void Cluster::ReleaseHeld() {
+  for (Packet& packet : held_) wire_.push_back(std::move(packet));
+  held_.clear();
+}
+
+void Cluster::Cut(size_t zone, bool cut) {
+  if (cut) {
+    cut_.insert(zone % shape_.zones);
+  } else {
+    cut_.erase(zone % shape_.zones);
+  }
+}
+
+void Cluster::Pause(size_t host, bool paused) { Of(host).paused = paused; }
+
+void Cluster::Restart(size_t host) {
+  Host& old = Of(host);
+  BreakLinks(host);
+  old.runs.clear();
+  old.links.clear();
+  old.sessions.clear();
+  old.paused = false;
+  old.leaving = false;
+  size_t index = IndexOf(old.name);
+  // Callers of the lost process hear nothing from it.
+  for (auto it = callers_.begin(); it != callers_.end();) {
+    it = it->second.host == index ? callers_.erase(it) : std::next(it);
+  }
+  Boot(old);
+}
+
+void Cluster::SetLeaving(size_t host, bool leaving) {
+  Host& h = Of(host);
+  if (h.paused || h.leaving == leaving) return;
+  h.leaving = leaving;
+  h.left_at = now();
+  h.node->SetLeaving(LeaveCause::kUpstream, leaving);
+}
+
+void Cluster::SetMode(size_t service, Mode mode) {
+  modes_[service % shape_.services] = mode;
+}
+
+void Cluster::GoneCaller(size_t pick) {
+  if (callers_.empty()) return;
+  auto it = callers_.begin();
+  std::advance(it, static_cast<ptrdiff_t>(pick % callers_.size()));
+  if (it->second.parent_run != 0 || hosts_[it->second.host].paused) return;
+  uint64_t caller = it->first;
+  size_t host = it->second.host;
+  hosts_[host].node->OnCallerGone(caller);
+}
+
+void Cluster::Publish(const std::string& path, const std::string& text) {
+  auto it = platform_.find(path);
+  if (it != platform_.end()) platform_before_[path] = it->second;
+  platform_[path] = {path, ++revision_, text};
+}
+
+void Cluster::SetPlatform(bool down, bool older) {
+  platform_down_ = down;
+  platform_older_ = older;
+}
+
+std::vector<teams::Value> Cluster::Shown() const {
+  std::vector<teams::Value> values;
+  for (const auto& [path, value] : platform_) {
+    auto before = platform_before_.find(path);
+    bool old = platform_older_ && before != platform_before_.end();
+    values.push_back(old ? before->second : value);
+  }
+  return values;
+}
+
+void Cluster::ReadPlatform(size_t index) {
+  Host& host = hosts_[index];
+  if (host.next_read > now()) return;
+  host.next_read = now() + kReadInterval;
+  bool severed = cut_.count(host.zone_index) != 0;
+  if (!shape_.with_platform || !host.node->ShouldReadPlatform()) return;
+  ++platform_reads_;
+  if (platform_down_ || severed) return;
+  host.node->OnPlatform(Shown());
+}
+
+void Cluster::Settle() {
+  cut_.clear();
+  ReleaseHeld();
+  for (Host& host : hosts_) host.paused = false;
+  std::fill(modes_.begin(), modes_.end(), Mode::kNormal);
+  Advance(4000);
+}
+
+void Cluster::Check() {
+  for (Host& host : hosts_) {
+    for (const auto& [path, value] : host.node->store().entries()) {
+      uint64_t& seen = host.versions[path];
+      if (value.version < seen) Fault("configuration went back: " + path);
+      seen = value.version;
+    }
+  }
+  for (const auto& [id, count] : oracle_.retries) {
+    if (count > kRetries) Fault("more retries than the bound: " + id);
+  }
+}
+
+}  // namespace almondwind::node::testing
--- /dev/null
+++ b/tools/mutants.sh
@@ -0,0 +1,60 @@
+#!/bin/bash
+# Shows that each proof can fail: breaks one mechanism at a time in a scratch
+# copy, and expects the test of its promise to turn red. Prints a line for
+# each; exits 1 if a broken mechanism goes unnoticed.
+set -u
+cd "$(dirname "$0")/.."
+scratch=${1:-build/mutants}
+mkdir -p "$scratch"
+cp -r --update almondwind CMakeLists.txt "$scratch/"
+cmake -S "$scratch" -B "$scratch/build" >/dev/null
+code=0
+
+# mutant LABEL FILE SED: the sed expression breaks the mechanism.
+mutant() {
+  local label=$1 file=$2 expression=$3
+  sed -i -E "$expression" "$scratch/$file"
+  if cmp -s "$file" "$scratch/$file"; then
+    echo "mutant $label: expression fits no line of $file"
+    code=1
+    return
+  fi
+  local line
+  line=$(diff "$file" "$scratch/$file" | head -1)
+  if ! cmake --build "$scratch/build" -j "$(nproc)" \
+      --target promises_fuzz_test >"$scratch/log" 2>&1; then
+    echo "mutant $label: does not compile"
+    code=1
+  elif RC_PARAMS="seed=20261204 max_success=2000 max_size=100" \
+      timeout 300 "$scratch/build/promises_fuzz_test" --run_test="$label" \
+      >"$scratch/log" 2>&1; then
+    echo "mutant $label: NOT NOTICED ($file $line)"
+    code=1
+  else
+    echo "mutant $label: red ($file $line): $(grep -m1 -A1 '^RC_FAIL' \
+      "$scratch/log" | tail -1) $(grep -m1 '^RC_FAIL\|^[a-z].*: ' \
+      "$scratch/log" | cut -c1-80)"
+  fi
+  cp -f "$file" "$scratch/$file"
+  touch "$scratch/$file"
+}
+
+mutant retries_bounded almondwind/node/router.cc \
+  's/out\.permits = call\.permits - keep;/out.permits = keep == 0 ? 0 : 3;/'
+mutant critical_refused_last almondwind/machines/gate.cc \
+  's/^  EvictBelow\(cls\);//'
+mutant answer_whole almondwind/node/router.cc \
+  's/by_message_\.find\(answer\.id\)/by_message_.begin()/'
+mutant not_run_is_true almondwind/node/server.cc \
+  's/call\.id <= it->second\.last_id/false/'
+mutant not_run_is_true almondwind/node/router.cc \
+  's/Outcome told = call->maybe_ran .*/Outcome told = outcome;/'
+mutant not_run_is_true almondwind/node/server.cc \
+  's/run->legs_not_run \? Outcome::kNotRun : Outcome::kUnknown/Outcome::kNotRun/'
+mutant at_most_once almondwind/contracts/ledger.cc \
+  's/^      entry->state = ContractState::kRunning;//'
+mutant leaving_gets_no_new_work almondwind/machines/gate.cc \
+  's/if \(leaving_\) return/if (false) return/'
+mutant config_never_reverts almondwind/teams/store.cc \
+  's/value\.version < it->second\.version/false/'
+exit $code
