--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all packages build demo test fuzz bench format format-check lint
+.PHONY: all packages build demo test fuzz bench mutants format format-check lint
 
 all: build
 
@@ -19,6 +19,17 @@
 test: build
 	@cd $(BUILD) && ctest --output-on-failure
 
+# New seeds for a given time: make fuzz SECONDS=600
+fuzz: build
+	@tools/fuzz.sh $(BUILD) $(SECONDS)
+
+# make bench CASES="addis-surge4 addis-slow" RUNS=3
+bench: build
+	@RUNS=$(or $(RUNS),3) tools/bench.sh $(CASES)
+
+mutants:
+	@tools/mutants.sh
+
 format:
 	@clang-format -i $$(git ls-files '*.h' '*.cc')
 
--- a/almondwind/cli/commands.cc
+++ b/almondwind/cli/commands.cc
@@ -11,6 +11,7 @@
 #include <string>
 #include <vector>
 
+#include "almondwind/load/compare.h"
 #include "almondwind/node/settings.h"
 
 namespace almondwind::cli {
@@ -92,8 +93,18 @@
   status->callback([options, &code] { code = RunStatus(*options); });
 }
 
+void AddCompare(CLI::App& app, int& code) {
+  auto folder = std::make_shared<std::string>();
+  auto* compare = app.add_subcommand("compare", "table of a bench's runs");
+  compare->add_option("--runs", *folder, "folder of the reports")->required();
+  compare->callback([folder, &code] { code = load::RunCompare(*folder); });
+}
+
 }  // namespace
 
-void AddCommands(CLI::App& app, int& code) { AddStatus(app, code); }
+void AddCommands(CLI::App& app, int& code) {
+  AddStatus(app, code);
+  AddCompare(app, code);
+}
 
 }  // namespace almondwind::cli
--- a/almondwind/links/mesh.cc
+++ b/almondwind/links/mesh.cc
@@ -173,6 +173,7 @@
   welcome.host = options_.host;
   welcome.incarnation = node_->incarnation();
   welcome.session = session;
+  welcome.leaving = node_->leaving();
   connection->Write(Encode(welcome));
 }
 
--- a/almondwind/links/message.cc
+++ b/almondwind/links/message.cc
@@ -15,7 +15,7 @@
 }
 template <typename F>
 void Fields(F& f, Welcome& m) {
-  f(m.host, m.incarnation, m.session);
+  f(m.host, m.incarnation, m.session, m.leaving);
 }
 template <typename F>
 void Fields(F& f, Call& m) {
@@ -35,7 +35,7 @@
 }
 template <typename F>
 void Fields(F& f, Leaving& m) {
-  f(m.host);
+  f(m.host, m.leaving);
 }
 
 struct Packer {
--- a/almondwind/links/message.h
+++ b/almondwind/links/message.h
@@ -50,6 +50,7 @@
   std::string host;
   uint64_t incarnation = 0;
   uint64_t session = 0;
+  bool leaving = false;
 };
 
 // What a gate tells of itself with each answer.
@@ -105,9 +106,10 @@
   std::array<uint32_t, base::kClassCount> below_ms{};
 };
 
-// The gate takes no new work from now on.
+// The gate takes no new work from now on, or (leaving false) takes it again.
 struct Leaving {
   std::string host;
+  bool leaving = true;
 };
 
 using Message = std::variant<Hello, Welcome, Call, Cancel, Answer, Leaving>;
--- a/almondwind/load/load.cc
+++ b/almondwind/load/load.cc
@@ -56,6 +56,16 @@
   return entries;
 }
 
+Strain StrainOf(const Mix& mix) {
+  Strain strain;
+  strain.from_s = mix.strain_from_s;
+  strain.to_s = mix.strain_to_s;
+  strain.capacity_ms =
+      1000.0 * mix.bottleneck_slots * (mix.strain_to_s - mix.strain_from_s);
+  strain.factor = mix.bottleneck_factor;
+  return strain;
+}
+
 class Runner;
 
 // One user request, over all repeats of its caller.
@@ -100,7 +110,7 @@
       : options_(options),
         mix_(std::move(mix)),
         client_(io_, links::HttpClientOptions{kMaxConnections, 32u << 20}),
-        report_(mix_.seconds),
+        report_(mix_.seconds, StrainOf(mix_)),
         random_(options.seed),
         arrivals_(io_) {}
 
@@ -268,6 +278,7 @@
   ending.cls = kind_.cls;
   ending.outcome = outcome;
   ending.repeats = repeats_;
+  ending.bottleneck_ms = kind_.bottleneck_ms;
   runner_.report().Ended(ending);
   if (outcome == Outcome::kNotRun && kind_.order) runner_.ToldNotRun(token_);
   runner_.UserEnded();
--- a/almondwind/load/mix.cc
+++ b/almondwind/load/mix.cc
@@ -14,7 +14,7 @@
 using teams::SettingsError;
 using Text = const std::string&;
 
-constexpr std::array<Knob<Mix>, 4> kMixKnobs = {{
+constexpr std::array<Knob<Mix>, 8> kMixKnobs = {{
     {"rate", KnobType::kInteger, "requests/s", 1, 100'000, "", "100",
      "user requests offered a second",
      [](Mix& m, int64_t v) { m.rate = static_cast<double>(v); }, nullptr},
@@ -28,9 +28,29 @@
      "pause before a repeat",
      [](Mix& m, int64_t v) { m.client_pause_ms = static_cast<int>(v); },
      nullptr},
+    {"strain_from_s", KnobType::kInteger, "s", 0, 3600, "", "0",
+     "when the strain begins",
+     [](Mix& m, int64_t v) { m.strain_from_s = static_cast<double>(v); },
+     nullptr},
+    {"strain_to_s", KnobType::kInteger, "s", 0, 3600, "", "0",
+     "when the strain ends",
+     [](Mix& m, int64_t v) { m.strain_to_s = static_cast<double>(v); },
+     nullptr},
+    {"bottleneck_slots", KnobType::kInteger, "slots", 0, 100'000, "", "0",
+     "slots of the bottleneck in all",
+     [](Mix& m, int64_t v) { m.bottleneck_slots = static_cast<int>(v); },
+     nullptr},
+    {"bottleneck_factor", KnobType::kInteger, "", 1, 1000, "", "1",
+     "how much slower the bottleneck is under the strain",
+     [](Mix& m, int64_t v) { m.bottleneck_factor = static_cast<int>(v); },
+     nullptr},
 }};
 
-constexpr std::array<Knob<RequestKind>, 7> kKindKnobs = {{
+constexpr std::array<Knob<RequestKind>, 8> kKindKnobs = {{
+    {"bottleneck_ms", KnobType::kInteger, "ms", 0, 60'000, "", "0",
+     "time for which it holds a slot of the bottleneck",
+     [](RequestKind& k, int64_t v) { k.bottleneck_ms = static_cast<int>(v); },
+     nullptr},
     {"name", KnobType::kText, "", 0, 100, "", "", "name", nullptr,
      [](RequestKind& k, Text v) { k.name = v; }},
     {"weight", KnobType::kInteger, "", 0, 10'000, "", "1", "share of the mix",
--- a/almondwind/load/mix.h
+++ b/almondwind/load/mix.h
@@ -18,6 +18,8 @@
   base::RequestClass cls = base::RequestClass::kNormal;
   bool order = false;  // under a contract
   int timeout_ms = 1000;
+  // Time for which it holds a slot of the bottleneck, at normal speed.
+  int bottleneck_ms = 0;
 };
 
 // The rate is multiplied by `factor` while the surge lasts.
@@ -38,6 +40,11 @@
   double seconds = 15;
   int client_retries = 3;   // repeats of a caller after a refusal or silence
   int client_pause_ms = 5;  // before such a repeat
+  // When the strain begins and ends; both 0: no strain.
+  double strain_from_s = 0;
+  double strain_to_s = 0;
+  int bottleneck_slots = 0;
+  int bottleneck_factor = 1;  // how much slower it is under the strain
   std::vector<RequestKind> kinds;
   std::vector<Surge> surges;
   std::vector<Fault> faults;
--- a/almondwind/load/report.cc
+++ b/almondwind/load/report.cc
@@ -17,8 +17,9 @@
   return values[at];
 }
 
-Report::Report(double seconds)
+Report::Report(double seconds, const Strain& strain)
     : seconds_(seconds),
+      strain_(strain),
       latency_(boost::histogram::make_histogram(Axis(400, 0.05, 60'000))) {}
 
 Report::Bucket& Report::BucketAt(double second) {
@@ -35,7 +36,16 @@
 void Report::Ended(const Ending& ending) {
   ++counts_.at(base::Index(ending.cls)).at(static_cast<size_t>(ending.outcome));
   repeats_ += static_cast<uint64_t>(ending.repeats);
-  if (ending.outcome != Outcome::kAnswered) return;
+  bool answered = ending.outcome == Outcome::kAnswered;
+  if (InStrain(ending.started_s) &&
+      ending.cls == base::RequestClass::kCritical) {
+    ++strain_critical_;
+    strain_critical_answered_ += answered ? 1 : 0;
+  }
+  if (answered && InStrain(ending.ended_s)) {
+    strain_used_ms_ += ending.bottleneck_ms * strain_.factor;
+  }
+  if (!answered) return;
   double ms = (ending.ended_s - ending.started_s) * 1000;
   latency_(ms);
   Bucket& bucket = BucketAt(ending.ended_s);
@@ -43,6 +53,10 @@
   bucket.latency_ms.push_back(ms);
 }
 
+bool Report::InStrain(double second) const {
+  return second >= strain_.from_s && second < strain_.to_s;
+}
+
 uint64_t Report::Count(Outcome outcome) const {
   uint64_t total = 0;
   for (const auto& row : counts_) total += row.at(static_cast<size_t>(outcome));
@@ -80,25 +94,34 @@
                       {"answered", bucket.answered},
                       {"p99_ms", QuantileOf(bucket.latency_ms, 0.99)}});
   }
-  return {{"offered", offered_},
-          {"answered", Count(Outcome::kAnswered)},
-          {"not_run", Count(Outcome::kNotRun)},
-          {"unknown", Count(Outcome::kUnknown)},
-          {"doubled", doubled},
-          {"broken", broken_},
-          {"untrue_not_run", untrue_not_run},
-          {"client_repeats", repeats_},
-          {"goodput_per_s",
-           static_cast<double>(Count(Outcome::kAnswered)) / seconds_},
-          {"p50_ms", Quantile(0.5)},
-          {"p99_ms", Quantile(0.99)},
-          {"refusal_p50_ms", QuantileOf(refusal_ms_, 0.5)},
-          {"refusal_p99_ms", QuantileOf(refusal_ms_, 0.99)},
-          {"work_ms", work_ms},
-          {"wasted_ms", wasted_ms},
-          {"classes", classes},
-          {"bucket_s", kBucketSeconds},
-          {"series", series}};
+  return {
+      {"offered", offered_},
+      {"answered", Count(Outcome::kAnswered)},
+      {"not_run", Count(Outcome::kNotRun)},
+      {"unknown", Count(Outcome::kUnknown)},
+      {"doubled", doubled},
+      {"broken", broken_},
+      {"untrue_not_run", untrue_not_run},
+      {"client_repeats", repeats_},
+      {"goodput_per_s",
+       static_cast<double>(Count(Outcome::kAnswered)) / seconds_},
+      {"p50_ms", Quantile(0.5)},
+      {"p99_ms", Quantile(0.99)},
+      {"refusal_p50_ms", QuantileOf(refusal_ms_, 0.5)},
+      {"refusal_p99_ms", QuantileOf(refusal_ms_, 0.99)},
+      {"work_ms", work_ms},
+      {"wasted_ms", wasted_ms},
+      {"strain_from_s", strain_.from_s},
+      {"strain_to_s", strain_.to_s},
+      {"bottleneck_share",
+       strain_.capacity_ms > 0 ? strain_used_ms_ / strain_.capacity_ms : 0.0},
+      {"critical_share", strain_critical_ > 0
+                             ? static_cast<double>(strain_critical_answered_) /
+                                   static_cast<double>(strain_critical_)
+                             : 1.0},
+      {"classes", classes},
+      {"bucket_s", kBucketSeconds},
+      {"series", series}};
 }
 
 std::string Report::Summary(const std::string& label) const {
--- a/almondwind/load/report.h
+++ b/almondwind/load/report.h
@@ -22,11 +22,20 @@
   base::RequestClass cls = base::RequestClass::kNormal;
   base::Outcome outcome = base::Outcome::kUnknown;
   int repeats = 0;
+  int bottleneck_ms = 0;
+};
+
+// What the report needs to know of a strain.
+struct Strain {
+  double from_s = 0;
+  double to_s = 0;
+  double capacity_ms = 0;  // slot time of the bottleneck while it lasts
+  double factor = 1;
 };
 
 class Report {
  public:
-  explicit Report(double seconds);
+  Report(double seconds, const Strain& strain);
 
   void Offered(double at_s);
   void Ended(const Ending& ending);
@@ -66,7 +75,13 @@
   double Quantile(double q) const;
   uint64_t Count(base::Outcome outcome) const;
 
+  bool InStrain(double second) const;
+
   double seconds_;
+  Strain strain_;
+  double strain_used_ms_ = 0;  // slot time of the bottleneck, of answers
+  uint64_t strain_critical_ = 0;
+  uint64_t strain_critical_answered_ = 0;
   uint64_t offered_ = 0;
   uint64_t broken_ = 0;
   uint64_t repeats_ = 0;
--- /dev/null
+++ b/almondwind/machines/testing/gate_test.cc
@@ -0,0 +1,177 @@
+// The gate: order of refusal, bounds by time, what a late wake-up finds.
+
+#define BOOST_TEST_MODULE gate
+#include "almondwind/machines/gate.h"
+
+#include <rapidcheck.h>
+
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <vector>
+
+namespace almondwind::machines {
+namespace {
+
+using base::Millis;
+using base::Reason;
+using base::RequestClass;
+
+struct Harness : public GateEvents {
+  explicit Harness(int slots, GateOptions options = {})
+      : gate(slots, 100, options, *this) {}
+
+  RunPtr Offer(RequestClass cls, int64_t deadline_ms = 10'000) {
+    RunPtr run = new Run();
+    run->id = ++last_id;
+    RequestPtr request = new Request();
+    request->cls = cls;
+    request->deadline = now + Millis(deadline_ms);
+    run->request = request;
+    gate.Offer(run, now);
+    return run;
+  }
+  void EndOne() {
+    if (running.empty()) return;
+    RunPtr run = running.front();
+    running.erase(running.begin());
+    gate.End(*run, {}, now);
+  }
+  void Start(Run& run) override { running.emplace_back(&run); }
+  void Refused(Run& run, Reason reason) override {
+    refused[run.id] = reason;
+    for (size_t c = base::Index(run.request->cls) + 1; c < 4; ++c) {
+      bool load =
+          reason == Reason::kOverload || reason == Reason::kQueueTimeout;
+      bool held = gate.queued(static_cast<RequestClass>(c)) > 0;
+      lower_held_at_refusal = lower_held_at_refusal || (load && held);
+    }
+  }
+
+  Millis now{1000};
+  uint64_t last_id = 0;
+  std::vector<RunPtr> running;
+  std::map<uint64_t, Reason> refused;
+  bool lower_held_at_refusal = false;
+  Gate gate;
+};
+
+// Fills the slots and teaches the gate a service time of 50 ms.
+void Warm(Harness& h, int slots) {
+  for (int i = 0; i < slots; ++i) h.Offer(RequestClass::kNormal);
+  h.now = h.now + Millis(50);
+  for (int i = 0; i < slots; ++i) h.EndOne();
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(limit_is_kept) {
+  Harness h(3);
+  for (int i = 0; i < 10; ++i) h.Offer(RequestClass::kHigh);
+  BOOST_TEST(h.gate.in_progress() == 3);
+  BOOST_TEST(h.gate.queued() == 7U);
+}
+
+BOOST_AUTO_TEST_CASE(critical_evicts_lower_before_it_is_refused) {
+  Harness h(1);
+  Warm(h, 1);
+  h.Offer(RequestClass::kNormal);  // takes the slot
+  RunPtr low = h.Offer(RequestClass::kBackground);
+  h.now = h.now + Millis(10);
+  bool refused = false;
+  for (int i = 0; i < 40 && !refused; ++i) {
+    RunPtr run = h.Offer(RequestClass::kCritical);
+    refused = h.refused.count(run->id) != 0;
+  }
+  BOOST_TEST(refused);
+  BOOST_TEST(h.refused.count(low->id) == 1U);
+  // The floor keeps lower classes out until the queue has drained.
+  RunPtr after = h.Offer(RequestClass::kHigh);
+  BOOST_TEST((h.refused.at(after->id) == Reason::kOverload));
+  BOOST_TEST(!h.lower_held_at_refusal);
+}
+
+BOOST_AUTO_TEST_CASE(expired_in_queue_is_refused_at_dispatch) {
+  Harness h(1);
+  RunPtr first = h.Offer(RequestClass::kNormal);
+  RunPtr late = h.Offer(RequestClass::kCritical, 100);
+  // The process was paused: no tick came, then the first run ends.
+  h.now = h.now + Millis(5000);
+  h.EndOne();
+  BOOST_TEST((h.refused.at(late->id) == Reason::kDeadline));
+  BOOST_TEST(h.running.empty());
+}
+
+BOOST_AUTO_TEST_CASE(leaving_refuses_new_and_finishes_old) {
+  Harness h(1);
+  h.Offer(RequestClass::kNormal);
+  RunPtr waiting = h.Offer(RequestClass::kNormal);
+  h.gate.Leave();
+  RunPtr late = h.Offer(RequestClass::kCritical);
+  BOOST_TEST((h.refused.at(late->id) == Reason::kLeaving));
+  h.EndOne();
+  BOOST_TEST((waiting->state == RunState::kRunning));
+}
+
+BOOST_AUTO_TEST_CASE(cold_upstream_is_ramped) {
+  Harness h(10);
+  h.gate.Join(h.now, /*cold=*/true);
+  BOOST_TEST(h.gate.Limit(h.now) == 2);
+  BOOST_TEST(h.gate.Limit(h.now + Millis(1000)) == 6);
+  BOOST_TEST(h.gate.Limit(h.now + Millis(2000)) == 10);
+}
+
+BOOST_AUTO_TEST_CASE(shedding_upstream_lowers_the_limit_and_it_returns) {
+  Harness h(10);
+  for (int i = 0; i < 5; ++i) {
+    h.Offer(RequestClass::kNormal);
+    h.now = h.now + Millis(60);
+    RunPtr run = h.running.back();
+    h.running.pop_back();
+    h.gate.End(*run, {true}, h.now);
+  }
+  int low = h.gate.Limit(h.now);
+  BOOST_TEST(low < 5);
+  for (int i = 0; i < 400; ++i) {
+    while (h.gate.in_progress() < h.gate.Limit(h.now)) {
+      h.Offer(RequestClass::kNormal);
+    }
+    h.now = h.now + Millis(1);
+    h.EndOne();
+  }
+  BOOST_TEST(h.gate.Limit(h.now) == 10);
+}
+
+// Oracle: the number of runs is conserved, the limit holds, classes start in
+// order, and no class is refused for load while a lower one waits.
+BOOST_AUTO_TEST_CASE(random_against_oracle) {
+  bool good = rc::check([](std::vector<uint8_t> steps) {
+    Harness h(2);
+    std::vector<RunPtr> all;
+    for (uint8_t step : steps) {
+      auto cls = static_cast<RequestClass>(step % 4);
+      switch (step / 4 % 5) {
+        case 0:
+        case 1:
+          all.push_back(h.Offer(cls, 20 + step));
+          break;
+        case 2:
+          h.EndOne();
+          break;
+        case 3:
+          h.now = h.now + Millis(step);
+          break;
+        default:
+          h.gate.Tick(h.now);
+      }
+      RC_ASSERT(h.gate.in_progress() <= 2);
+      size_t live = static_cast<size_t>(h.gate.in_progress()) + h.gate.queued();
+      size_t done = 0;
+      for (const RunPtr& run : all) done += run->state == RunState::kDone;
+      RC_ASSERT(live + done == all.size());
+      RC_ASSERT(!h.lower_held_at_refusal);
+    }
+  });
+  BOOST_TEST(good);
+}
+
+}  // namespace almondwind::machines
--- a/almondwind/node/node.cc
+++ b/almondwind/node/node.cc
@@ -63,8 +63,8 @@
   Lock lock(mutex_);
   if (const auto* answer = std::get_if<links::Answer>(&message)) {
     router_.OnAnswer(host, *answer, clock_.Now());
-  } else if (std::holds_alternative<links::Leaving>(message)) {
-    router_.OnLeaving(host);
+  } else if (const auto* news = std::get_if<links::Leaving>(&message)) {
+    router_.OnLeaving(host, news->leaving);
   }
 }
 
@@ -149,6 +149,11 @@
   return ReadyLocked();
 }
 
+bool Node::leaving() const {
+  Lock lock(mutex_);
+  return was_leaving_;
+}
+
 bool Node::idle() const {
   Lock lock(mutex_);
   return entries_.empty() && server_.run_count() == 0;
@@ -365,6 +370,7 @@
           {"windows", windows},
           {"config", config},
           {"config_age_ms", relay_.Age(now).count()},
+          {"runs_started", server_.runs_started()},
           {"contracts_held", server_.ledger().size()},
           {"calls", router_.call_count()},
           {"control_bytes_sent", relay_.bytes_sent()},
--- a/almondwind/node/node.h
+++ b/almondwind/node/node.h
@@ -117,6 +117,7 @@
 
   // Whether the node has what it needs to serve.
   bool ready() const;
+  bool leaving() const;
   // Whether nothing is in progress.
   bool idle() const;
   uint64_t incarnation() const { return incarnation_; }
--- a/almondwind/node/router.cc
+++ b/almondwind/node/router.cc
@@ -325,6 +325,7 @@
   Machine* machine = directory_.Reach(welcome.host);
   bool other = link.incarnation != 0 && link.incarnation != welcome.incarnation;
   if (machine != nullptr && other) machine->OnReturn();
+  if (machine != nullptr) machine->OnLeaving(welcome.leaving);
   link.session = welcome.session;
   link.incarnation = welcome.incarnation;
   std::vector<CallPtr> waiting;
@@ -355,8 +356,10 @@
   }
 }
 
-void Router::OnLeaving(const std::string& host) {
-  if (Machine* machine = directory_.FindHost(host)) machine->OnLeaving();
+void Router::OnLeaving(const std::string& host, bool leaving) {
+  if (Machine* machine = directory_.FindHost(host)) {
+    machine->OnLeaving(leaving);
+  }
 }
 
 void Router::Cancel(uint64_t id, Millis now) {
--- a/almondwind/node/router.h
+++ b/almondwind/node/router.h
@@ -104,7 +104,7 @@
                 base::Millis now);
   void OnLinkUp(const links::Welcome& welcome, base::Millis now);
   void OnLinkDown(const std::string& host, base::Millis now);
-  void OnLeaving(const std::string& host);
+  void OnLeaving(const std::string& host, bool leaving);
   void Tick(base::Millis now);
 
   zones::Directory& directory() { return directory_; }
--- a/almondwind/node/server.cc
+++ b/almondwind/node/server.cc
@@ -191,6 +191,7 @@
 }
 
 void Server::Start(Run& run) {
+  ++runs_started_;
   if (log_.enabled()) {
     Decision decision;
     decision.what = "admit";
@@ -333,14 +334,22 @@
   for (const RunPtr& run : late) Lose(*run, Reason::kTimeout, now);
 }
 
-void Server::Leave() {
-  gate_.Leave();
+void Server::TellRouters(bool leaving) {
   for (const auto& [session, state] : sessions_) {
-    links_.Reply(session, links::Leaving{options_.host});
+    links_.Reply(session, links::Leaving{options_.host, leaving});
   }
 }
 
-void Server::Join(Millis now, bool cold) { gate_.Join(now, cold); }
+void Server::Leave() {
+  gate_.Leave();
+  TellRouters(true);
+}
+
+void Server::Join(Millis now, bool cold) {
+  gate_.Join(now, cold);
+  // They send nothing here meanwhile, so no answer would tell them.
+  TellRouters(false);
+}
 
 Run* Server::FindRun(uint64_t id) {
   auto it = runs_.find(id);
--- a/almondwind/node/server.h
+++ b/almondwind/node/server.h
@@ -81,6 +81,7 @@
   size_t run_count() const { return runs_.size(); }
   size_t session_count() const { return sessions_.size(); }
   uint64_t copies_dropped() const { return copies_dropped_; }
+  uint64_t runs_started() const { return runs_started_; }
 
   // machines::GateEvents
   void Start(machines::Run& run) override;
@@ -111,6 +112,7 @@
                    base::Reason reason, uint32_t permits, base::Millis now);
   void EndOrder(const machines::Run& run, const links::Answer& answer,
                 base::Millis now);
+  void TellRouters(bool leaving);
   void Lose(machines::Run& run, base::Reason reason, base::Millis now);
 
   const ServerOptions options_;
@@ -128,6 +130,7 @@
   std::unordered_map<uint64_t, machines::RunPtr> runs_;
   std::map<OriginKey, uint64_t> by_origin_;
   uint64_t copies_dropped_ = 0;
+  uint64_t runs_started_ = 0;
 };
 
 }  // namespace almondwind::node
--- a/almondwind/node/testing/cluster.cc
+++ b/almondwind/node/testing/cluster.cc
@@ -67,12 +67,10 @@
   running.request_id = request_id;
   running.service = host.service;
   running.order = request.order;
-  running.leaf =
-      request.order || host.service + 1 == cluster_.shape_.services;
+  running.leaf = request.order || host.service + 1 == cluster_.shape_.services;
   running.fate = cluster_.modes_[host.service];
   bool slow = running.fate == Mode::kSlow;
-  running.ends_at =
-      cluster_.now() + (slow ? kSlowServiceTime : kServiceTime);
+  running.ends_at = cluster_.now() + (slow ? kSlowServiceTime : kServiceTime);
   bool acts = running.leaf && running.fate != Mode::kSheds;
   if (acts) {
     ++oracle.effects[running.token];
@@ -363,8 +361,8 @@
     welcome.host = to.name;
     welcome.incarnation = to.node->incarnation();
     welcome.session = session;
-    wire_.push_back({PacketKind::kToRouter, packet.to, packet.from,
-                     packet.link, links::Encode(welcome)});
+    wire_.push_back({PacketKind::kToRouter, packet.to, packet.from, packet.link,
+                     links::Encode(welcome)});
     return;
   }
   to.node->OnRouterMessage(message);
--- a/almondwind/node/testing/cluster.h
+++ b/almondwind/node/testing/cluster.h
@@ -30,13 +30,13 @@
 
 // What must always hold, as counters and sets.
 struct Oracle {
-  std::map<std::string, int> effects;    // token -> runs that may have acted
-  std::set<std::string> told_not_run;    // tokens
-  std::map<std::string, int> key_runs;   // contract -> runs
-  std::set<std::string> key_not_run;     // contracts told not run
-  std::map<std::string, int> retries;    // request id -> permits spent
-  std::map<uint64_t, int> replies;       // caller -> answers
-  std::vector<std::string> faults;       // what went wrong, in words
+  std::map<std::string, int> effects;   // token -> runs that may have acted
+  std::set<std::string> told_not_run;   // tokens
+  std::map<std::string, int> key_runs;  // contract -> runs
+  std::set<std::string> key_not_run;    // contracts told not run
+  std::map<std::string, int> retries;   // request id -> permits spent
+  std::map<uint64_t, int> replies;      // caller -> answers
+  std::vector<std::string> faults;      // what went wrong, in words
   int answered = 0;
   int not_run = 0;
   int unknown = 0;
@@ -83,10 +83,10 @@
 };
 
 struct Shape {
-  size_t services = 3;        // a chain: each calls the next
+  size_t services = 3;  // a chain: each calls the next
   size_t zones = 3;
-  size_t hosts = 3;           // of each service, one a zone in turn
-  std::set<size_t> fan_out;   // services that call the next one twice
+  size_t hosts = 3;          // of each service, one a zone in turn
+  std::set<size_t> fan_out;  // services that call the next one twice
   int slots = 2;
   bool with_platform = true;
 };
@@ -174,10 +174,10 @@
     bool paused = false;
     bool leaving = false;
     base::Millis left_at{0};
-    std::map<std::string, Link> links;             // by gate's name
+    std::map<std::string, Link> links;                         // by gate's name
     std::map<uint64_t, std::pair<size_t, uint64_t>> sessions;  // -> peer, link
     std::map<uint64_t, Running> runs;
-    std::map<std::string, uint64_t> versions;      // seen in force
+    std::map<std::string, uint64_t> versions;  // seen in force
     base::Millis next_read{0};
     bool was_ready = false;
   };
--- a/almondwind/node/testing/promises_fuzz_test.cc
+++ b/almondwind/node/testing/promises_fuzz_test.cc
@@ -76,12 +76,12 @@
 constexpr int kOpCount = 25;
 
 constexpr base::Names<kOpCount> kOpNames = {
-    "call",     "burst",        "ask_contract", "order",
-    "advance",  "duplicate",    "drop",         "reorder",
-    "hold",     "release",      "break_links",  "cut",
-    "heal",     "pause",        "wake",         "restart",
-    "leave",    "join",         "mode",         "gone",
-    "publish",  "publish_bad",  "platform_down", "platform_older",
+    "call",       "burst",       "ask_contract",  "order",
+    "advance",    "duplicate",   "drop",          "reorder",
+    "hold",       "release",     "break_links",   "cut",
+    "heal",       "pause",       "wake",          "restart",
+    "leave",      "join",        "mode",          "gone",
+    "publish",    "publish_bad", "platform_down", "platform_older",
     "platform_up"};
 
 using Command = rc::state::Command<Model, Sut>;
@@ -126,7 +126,9 @@
         return;
       case Op::kBackgroundBurst:
         for (int i = 0; i < 12; ++i) {
-          const char* cls = i % 3 == 0 ? "background" : i % 3 == 1 ? "" : "high";
+          const char* cls = i % 3 == 0   ? "background"
+                            : i % 3 == 1 ? ""
+                                         : "high";
           c.CallService(a_, b_, "b" + std::to_string(sut.next_token++), cls);
         }
         return;
@@ -272,8 +274,8 @@
 
 BOOST_AUTO_TEST_CASE(config_never_reverts) {
   Fuzz(Shape(), {Op::kPublishGood, Op::kPublishBad, Op::kPlatformOlder,
-                 Op::kPlatformUp, Op::kRestart, Op::kCut, Op::kHeal,
-                 Op::kPause, Op::kAdvance, Op::kAdvance});
+                 Op::kPlatformUp, Op::kRestart, Op::kCut, Op::kHeal, Op::kPause,
+                 Op::kAdvance, Op::kAdvance});
 }
 
 }  // namespace almondwind::node::testing
--- a/almondwind/standins/graph.cc
+++ b/almondwind/standins/graph.cc
@@ -51,13 +51,30 @@
       g.Control(1), g.Control(2), log_level);
 }
 
-std::string HostList(const Graph& g, const GraphService& s) {
+std::string HostList(const Graph& g, const GraphService& s,
+                     const std::string& relayed_zone) {
   std::string out;
   for (const GraphHost& h : s.hosts) {
+    bool relayed = h.zone == relayed_zone;
     out += fmt::format(
         "[[hosts]]\nname = \"{}\"\nzone = \"{}\"\nregion = \"{}\"\n"
         "link = \"{}\"\ncontrol = \"{}\"\nstate = \"live\"\n",
-        h.name, h.zone, g.region, g.Links(h.index), g.Control(h.index));
+        h.name, h.zone, g.region,
+        relayed ? g.RelayedLinks(h.index) : g.Links(h.index),
+        relayed ? g.RelayedControl(h.index) : g.Control(h.index));
+  }
+  return out;
+}
+
+std::string Ways(const Graph& g, const std::string& relayed_zone) {
+  std::string out;
+  for (const GraphService& s : g.services) {
+    for (const GraphHost& h : s.hosts) {
+      if (h.zone != relayed_zone) continue;
+      out += fmt::format("--way {}={} --way {}={}\n", g.RelayedLinks(h.index),
+                         g.Links(h.index), g.RelayedControl(h.index),
+                         g.Control(h.index));
+    }
   }
   return out;
 }
@@ -107,16 +124,18 @@
 }
 
 void WriteLayout(const Graph& graph, const std::string& policy_file,
-                 const std::string& folder, const std::string& log_level) {
+                 const std::string& folder, const std::string& log_level,
+                 const std::string& relayed_zone) {
   fs::path root(folder);
   std::ifstream policy(policy_file);
   if (!policy) throw std::runtime_error(policy_file + ": cannot be read");
   std::stringstream text;
   text << policy.rdbuf();
   Write(root / "platform/teams" / (graph.team + ".toml"), text.str());
+  Write(root / "ways", Ways(graph, relayed_zone));
   for (const GraphService& service : graph.services) {
     Write(root / "platform/hosts" / graph.team / (service.name + ".toml"),
-          HostList(graph, service));
+          HostList(graph, service, relayed_zone));
     for (const GraphHost& host : service.hosts) {
       Write(root / "nodes" / (host.name + ".toml"),
             NodeSettings(graph, service, host, log_level));
--- a/almondwind/standins/graph.h
+++ b/almondwind/standins/graph.h
@@ -48,6 +48,9 @@
   std::string Control(int index) const { return Address(index, 2); }
   std::string Operators(int index) const { return Address(index, 3); }
   std::string Upstream(int index) const { return Address(index, 4); }
+  // Where a relay stands in front of a host, if one does.
+  std::string RelayedLinks(int index) const { return Address(index, 5); }
+  std::string RelayedControl(int index) const { return Address(index, 6); }
   std::string Platform() const { return Address(-1, 0); }
   std::string Admin() const { return Address(-1, 1); }
 
@@ -59,8 +62,11 @@
 Graph ReadGraph(const std::string& file);
 
 // Writes settings of each node, and the platform's values, below `folder`.
+// Hosts of `relayed_zone` are published at the addresses of a relay, whose
+// ways are written to `folder`/ways.
 void WriteLayout(const Graph& graph, const std::string& policy_file,
-                 const std::string& folder, const std::string& log_level);
+                 const std::string& folder, const std::string& log_level,
+                 const std::string& relayed_zone);
 
 }  // namespace almondwind::standins
 
--- a/almondwind/standins/main.cc
+++ b/almondwind/standins/main.cc
@@ -30,6 +30,7 @@
   std::string folder;
   std::string policy;
   std::string log_level = "warn";
+  std::string relayed_zone;
   bool direct = false;
   std::vector<std::string> ways;
   std::string admin;
@@ -40,9 +41,10 @@
   layout->add_option("--policy", policy)->required();
   layout->add_option("--out", folder)->required();
   layout->add_option("--log", log_level);
+  layout->add_option("--relayed-zone", relayed_zone, "behind a relay");
   layout->callback([&] {
     almondwind::standins::WriteLayout(ReadGraph(graph_file), policy, folder,
-                                      log_level);
+                                      log_level, relayed_zone);
   });
 
   auto* upstreams = app.add_subcommand("upstreams", "all back ends");
--- a/almondwind/zones/machine.h
+++ b/almondwind/zones/machine.h
@@ -61,7 +61,8 @@
   // The link broke or could not be made.
   void OnUnreachable(base::Millis now, const EjectOptions& options,
                      double jitter);
-  void OnLeaving() { load_.leaving = true; }
+  // The gate said that it takes no new work, or takes it again.
+  void OnLeaving(bool leaving) { load_.leaving = leaving; }
   // A new incarnation answered Hello: what was known of the old one is void.
   void OnReturn();
 
--- a/tools/fleet.sh
+++ b/tools/fleet.sh
@@ -38,13 +38,20 @@
   mkdir -p "$FLEET_DIR"
   local graph=graphs/$1.toml
   build/standin layout --graph "$graph" --policy "policies/${POLICY:-$1}.toml" \
-    --out "$FLEET_DIR" --log "${LOG_LEVEL:-info}" || exit 2
+    --out "$FLEET_DIR" --log "${LOG_LEVEL:-info}" \
+    --relayed-zone "${RELAYED_ZONE:-}" || exit 2
   build/standin platform --graph "$graph" --values "$FLEET_DIR/platform" &
   echo $! >"$FLEET_DIR/platform.pid"
   disown $!
   build/standin upstreams --graph "$graph" ${3:-} &
   echo $! >"$FLEET_DIR/upstreams.pid"
   disown $!
+  if [ -n "${RELAYED_ZONE:-}" ]; then
+    # shellcheck disable=SC2046  # a list of options
+    build/standin relay --admin "$RELAY_ADMIN" $(cat "$FLEET_DIR/ways") &
+    echo $! >"$FLEET_DIR/relay.pid"
+    disown $!
+  fi
   local file
   if [ "${3:-}" != "--direct" ]; then
     for file in "$FLEET_DIR"/nodes/*.toml; do
@@ -66,3 +73,24 @@
   done
   return 1
 }
+
+# http METHOD IP:PORT TARGET [BODY]: prints the answer, headers and all.
+http() {
+  local body=${4:-}
+  exec 9<>"/dev/tcp/${2%:*}/${2#*:}" || return 1
+  printf '%s %s HTTP/1.1\r\nHost: x\r\nConnection: close\r\nContent-Length: %d\r\n%s\r\n%s' \
+    "$1" "$3" "$(printf %s "$body" | wc -c)" "${HTTP_HEADERS:-}" "$body" >&9
+  cat <&9
+  exec 9<&- 9>&-
+}
+
+# node_address NAME SERVICE_OF_THE_NODE: "ip:port" from the node's settings.
+node_address() {
+  sed -n "s/^$2 = \"\(.*\)\"/\1/p" "$FLEET_DIR/nodes/$1.toml" | head -1
+}
+
+# node_status NAME KEY: a number or word of the node's status.
+node_status() {
+  build/almondwind status --json --address "$(node_address "$1" operators)" |
+    grep -o "\"$2\":[^,}]*" | head -1 | cut -d: -f2-
+}
