Bring ends of exchanges and outside hosts together; tests of readers

Cause: read as a newcomer: two enums told how an exchange ended, the test cluster stood in one file of 600 lines, and a host that was published once stayed reachable for contracts for ever. Readers of the platform are counted at 3, 99 and 300 nodes (3, 9, 9: three a zone), and in an outage. Conclusion: no behaviour but that of Reach has changed.

--- a/almondwind/base/outcome.h
+++ b/almondwind/base/outcome.h
@@ -28,6 +28,14 @@
 enum class Outcome : uint8_t { kAnswered, kNotRun, kUnknown };
 constexpr Names<3> kOutcomeNames = {"answered", "not_run", "unknown"};
 
+// How one HTTP exchange ended, seen from the side that asked.
+enum class EndKind : uint8_t {
+  kAnswer,       // complete
+  kClosed,       // sent, but no complete answer came
+  kUnreachable,  // nothing was sent
+  kTooLarge      // the answer exceeds the limit
+};
+
 enum class Reason : uint8_t {
   kNone,
   kOverload,
--- a/almondwind/bench/capacity.cc
+++ b/almondwind/bench/capacity.cc
@@ -184,7 +184,7 @@
       ++call.id;
       m.node->OnRouterMessage(call);
       node::UpstreamEnd end;
-      end.kind = node::EndKind::kAnswer;
+      end.kind = base::EndKind::kAnswer;
       end.status = 200;
       m.node->OnUpstreamEnd(m.world.started, end);
     }
--- a/almondwind/links/http_client.cc
+++ b/almondwind/links/http_client.cc
@@ -14,6 +14,7 @@
 namespace beast = boost::beast;
 namespace http = beast::http;
 namespace net = boost::asio;
+using base::EndKind;
 using beast::error_code;
 
 namespace {
@@ -47,7 +48,7 @@
   void Read();
   void ReadBody();
   void OnAnswer();
-  void End(HttpEndKind kind);
+  void End(EndKind kind);
 
   HttpClient& client_;
   const HttpClient::Endpoint endpoint_;
@@ -101,7 +102,7 @@
 void HttpConnection::Connect() {
   auto self = shared_from_this();
   stream_.async_connect(endpoint_, [self](error_code ec) {
-    if (ec) return self->End(HttpEndKind::kUnreachable);
+    if (ec) return self->End(EndKind::kUnreachable);
     self->connected_ = true;
     self->stream_.socket().set_option(net::ip::tcp::no_delay(true), ec);
     self->Write();
@@ -112,7 +113,7 @@
   auto self = shared_from_this();
   http::async_write(stream_, request_, [self](error_code ec, size_t) {
     // Some of it may have arrived, so this is no proof that it did not run.
-    if (ec) return self->End(HttpEndKind::kClosed);
+    if (ec) return self->End(EndKind::kClosed);
     self->Read();
   });
 }
@@ -130,9 +131,9 @@
         size_t limit = self->client_.options_.answer_bytes;
         bool large = length.has_value() && *length > limit;
         if (ec == http::error::body_limit || (!ec && large)) {
-          return self->End(HttpEndKind::kTooLarge);
+          return self->End(EndKind::kTooLarge);
         }
-        if (ec) return self->End(HttpEndKind::kClosed);
+        if (ec) return self->End(EndKind::kClosed);
         self->ReadBody();
       });
 }
@@ -141,16 +142,16 @@
   auto self = shared_from_this();
   http::async_read(stream_, buffer_, *parser_, [self](error_code ec, size_t) {
     if (ec == http::error::body_limit) {
-      return self->End(HttpEndKind::kTooLarge);
+      return self->End(EndKind::kTooLarge);
     }
-    if (ec) return self->End(HttpEndKind::kClosed);
+    if (ec) return self->End(EndKind::kClosed);
     self->OnAnswer();
   });
 }
 
 void HttpConnection::OnAnswer() {
   HttpEnd end;
-  end.kind = HttpEndKind::kAnswer;
+  end.kind = EndKind::kAnswer;
   bool keep = parser_->get().keep_alive();
   end.response = parser_->release();
   parser_.reset();
@@ -161,7 +162,7 @@
   handler(std::move(end));
 }
 
-void HttpConnection::End(HttpEndKind kind) {
+void HttpConnection::End(EndKind kind) {
   error_code ignored;
   stream_.socket().close(ignored);
   if (running_ == 0 || cancelled_ >= running_) return;
@@ -219,7 +220,7 @@
   if (connection == nullptr) {
     net::post(io_, [handler = std::move(handler)] {
       HttpEnd end;
-      end.kind = HttpEndKind::kUnreachable;
+      end.kind = EndKind::kUnreachable;
       handler(std::move(end));
     });
     return std::make_shared<NoExchange>();
--- a/almondwind/links/http_client.h
+++ b/almondwind/links/http_client.h
@@ -28,6 +28,8 @@
 #include <mutex>
 #include <vector>
 
+#include "almondwind/base/outcome.h"
+
 namespace almondwind::links {
 
 using HttpRequest =
@@ -35,15 +37,8 @@
 using HttpResponse =
     boost::beast::http::response<boost::beast::http::string_body>;
 
-enum class HttpEndKind : uint8_t {
-  kAnswer,       // complete
-  kClosed,       // sent, but no complete answer came
-  kUnreachable,  // nothing was sent
-  kTooLarge      // the answer exceeds the limit
-};
-
 struct HttpEnd {
-  HttpEndKind kind = HttpEndKind::kClosed;
+  base::EndKind kind = base::EndKind::kClosed;
   HttpResponse response;
 };
 using HttpHandler = std::function<void(HttpEnd)>;
--- a/almondwind/links/testing/http_client_test.cc
+++ b/almondwind/links/testing/http_client_test.cc
@@ -15,6 +15,7 @@
 namespace {
 
 namespace http = boost::beast::http;
+using base::EndKind;
 constexpr const char* kAddress = "127.0.0.1:20991";
 
 struct Server {
@@ -48,8 +49,8 @@
 
 BOOST_AUTO_TEST_CASE(run_then_close_is_sent_once) {
   Server server;
-  BOOST_TEST((server.Ask(http::verb::get).kind == HttpEndKind::kAnswer));
-  BOOST_TEST((server.Ask(http::verb::post).kind == HttpEndKind::kClosed));
+  BOOST_TEST((server.Ask(http::verb::get).kind == EndKind::kAnswer));
+  BOOST_TEST((server.Ask(http::verb::post).kind == EndKind::kClosed));
   server.io.poll();
   BOOST_TEST(server.posts == 1);
 }
@@ -60,7 +61,7 @@
   HttpEnd end = server.Ask(http::verb::get);
   BOOST_TEST_INFO("kind " << static_cast<int>(end.kind) << ", body of "
                           << end.response.body().size());
-  BOOST_TEST((end.kind == HttpEndKind::kTooLarge));
+  BOOST_TEST((end.kind == EndKind::kTooLarge));
 }
 
 BOOST_AUTO_TEST_CASE(closed_port_is_unreachable) {
@@ -71,7 +72,7 @@
               HttpRequest{http::verb::get, "/", 11},
               [&end](HttpEnd e) { end = std::move(e); });
   while (!end) io.run_one();
-  BOOST_TEST((end->kind == HttpEndKind::kUnreachable));
+  BOOST_TEST((end->kind == EndKind::kUnreachable));
 }
 
 BOOST_AUTO_TEST_CASE(beyond_the_bound_is_unreachable) {
@@ -81,7 +82,7 @@
     server.client.Send(ParseEndpoint(kAddress),
                        HttpRequest{http::verb::get, "/", 11},
                        [&unreachable](HttpEnd e) {
-                         unreachable += e.kind == HttpEndKind::kUnreachable;
+                         unreachable += e.kind == EndKind::kUnreachable;
                        });
   }
   server.io.run_for(std::chrono::milliseconds(200));
--- a/almondwind/load/load.cc
+++ b/almondwind/load/load.cc
@@ -25,11 +25,11 @@
 
 namespace http = boost::beast::http;
 namespace net = boost::asio;
+using base::EndKind;
 using base::Outcome;
 using boost::system::error_code;
 using links::HttpClient;
 using links::HttpEnd;
-using links::HttpEndKind;
 using SteadyClock = std::chrono::steady_clock;
 
 namespace {
@@ -210,12 +210,12 @@
 void User::OnEnd(int attempt, HttpEnd end) {
   if (attempt != attempt_ || done_) return;
   timer_.cancel();
-  bool answered = end.kind == HttpEndKind::kAnswer;
+  bool answered = end.kind == EndKind::kAnswer;
   if (!answered || end.response.result_int() != 200) {
     runner_.AttemptFailed(token_ + "." + std::to_string(attempt));
   }
   if (answered) return OnResponse(end.response);
-  if (end.kind == HttpEndKind::kUnreachable) {
+  if (end.kind == EndKind::kUnreachable) {
     return Again(maybe_ran_ ? Outcome::kUnknown : Outcome::kNotRun, true);
   }
   maybe_ran_ = true;
--- a/almondwind/node/server.cc
+++ b/almondwind/node/server.cc
@@ -6,6 +6,7 @@
 
 namespace almondwind::node {
 
+using base::EndKind;
 using base::Millis;
 using base::Outcome;
 using base::Reason;
--- a/almondwind/node/shell.h
+++ b/almondwind/node/shell.h
@@ -42,15 +42,8 @@
   virtual void Cancel(uint64_t run) = 0;
 };
 
-enum class EndKind : uint8_t {
-  kAnswer,       // complete
-  kClosed,       // sent, but no complete answer came
-  kUnreachable,  // nothing was sent
-  kTooLarge      // the answer exceeds the limit
-};
-
 struct UpstreamEnd {
-  EndKind kind = EndKind::kClosed;
+  base::EndKind kind = base::EndKind::kClosed;
   uint32_t status = 0;
   std::string content_type;
   std::string body;
--- a/almondwind/node/testing/cluster.cc
+++ b/almondwind/node/testing/cluster.cc
@@ -13,10 +13,7 @@
 namespace {
 
 constexpr int64_t kStepMs = 5;
-constexpr Millis kServiceTime{10};
-constexpr Millis kSlowServiceTime{400};
 constexpr Millis kReadInterval{500};
-constexpr Millis kLeavingPatience{3000};
 constexpr size_t kMaxWire = 200'000;
 
 std::string ServiceName(size_t service) {
@@ -25,111 +22,6 @@
 
 }  // namespace
 
-LinkState FakeShell::Prepare(const zones::HostEntry& entry) {
-  auto& self = cluster_.hosts_[host_];
-  Cluster::Link& link = self.links[entry.name];
-  if (link.state != LinkState::kDown) return link.state;
-  link.state = LinkState::kDialling;
-  link.number = cluster_.next_link_++;
-  links::Hello hello;
-  hello.host = self.name;
-  hello.sent_at_ms = self.clock->Now().count();
-  cluster_.wire_.push_back({Cluster::PacketKind::kToGate, host_,
-                            cluster_.IndexOf(entry.name), link.number,
-                            links::Encode(hello)});
-  return link.state;
-}
-
-bool FakeShell::Send(const std::string& host, const links::Message& message) {
-  Cluster::Link& link = cluster_.hosts_[host_].links[host];
-  if (link.state != LinkState::kUp) return false;
-  cluster_.wire_.push_back({Cluster::PacketKind::kToGate, host_,
-                            cluster_.IndexOf(host), link.number,
-                            links::Encode(message)});
-  return true;
-}
-
-void FakeShell::Reply(uint64_t session, const links::Message& message) {
-  auto& sessions = cluster_.hosts_[host_].sessions;
-  auto it = sessions.find(session);
-  if (it == sessions.end()) return;
-  cluster_.wire_.push_back({Cluster::PacketKind::kToRouter, host_,
-                            it->second.first, it->second.second,
-                            links::Encode(message)});
-}
-
-void FakeShell::Start(uint64_t run, const machines::Request& request,
-                      const std::string& request_id, Millis) {
-  auto& host = cluster_.hosts_[host_];
-  Oracle& oracle = cluster_.oracle_;
-  Cluster::Running running;
-  running.token = request.body;
-  running.request_id = request_id;
-  running.service = host.service;
-  running.order = request.order;
-  running.leaf = request.order || host.service + 1 == cluster_.shape_.services;
-  running.fate = cluster_.modes_[host.service];
-  bool slow = running.fate == Mode::kSlow;
-  running.ends_at = cluster_.now() + (slow ? kSlowServiceTime : kServiceTime);
-  bool acts = running.leaf && running.fate != Mode::kSheds;
-  if (acts) {
-    ++oracle.effects[running.token];
-    if (oracle.told_not_run.count(running.token) != 0) {
-      cluster_.Fault("ran after not run was told: " + running.token);
-    }
-  }
-  if (acts && request.order) {
-    if (++oracle.key_runs[request.key] > 1) {
-      cluster_.Fault("an order ran twice: " + request.key);
-    }
-    if (oracle.key_not_run.count(request.key) != 0) {
-      cluster_.Fault("an order ran after not run was told: " + request.key);
-    }
-  }
-  bool late = host.leaving && cluster_.now() - host.left_at > kLeavingPatience;
-  if (late) cluster_.Fault("new work at a leaving upstream: " + host.name);
-  host.runs[run] = running;
-}
-
-void FakeShell::Cancel(uint64_t run) { cluster_.hosts_[host_].runs.erase(run); }
-
-void FakeShell::Answer(uint64_t caller, node::Reply reply) {
-  cluster_.OnAnswer(caller, reply);
-}
-
-void FakeShell::SendControl(const std::string& address,
-                            const std::string& bytes) {
-  cluster_.wire_.push_back({Cluster::PacketKind::kControl, host_,
-                            cluster_.IndexOf(address), 0, bytes});
-}
-
-void FakeShell::Write(const Decision& decision) {
-  auto& host = cluster_.hosts_[host_];
-  if (decision.request == nullptr || host.node == nullptr) return;
-  const machines::Request& request = *decision.request;
-  if (decision.what == "retry") {
-    // Attempts beyond the first of a call are the ones that cost a permit,
-    // but for those of which nothing was sent.
-    ++cluster_.oracle_.retries[request.id];
-  }
-  const machines::Gate& gate = host.node->server().gate();
-  size_t lower = 0;
-  for (size_t c = base::Index(request.cls) + 1; c < base::kClassCount; ++c) {
-    lower += gate.queued(static_cast<base::RequestClass>(c));
-  }
-  if (decision.what == "refuse" && IsLoadRefusal(decision.reason) &&
-      lower > 0) {
-    cluster_.Fault("refused while a lower class waits: " + request.id);
-  }
-  size_t higher = 0;
-  for (size_t c = 0; c < base::Index(request.cls); ++c) {
-    higher += gate.queued(static_cast<base::RequestClass>(c));
-  }
-  if (decision.what == "admit" && higher > 0) {
-    cluster_.Fault("started while a higher class waits: " + request.id);
-  }
-}
-
 Cluster::Cluster(const Shape& shape, uint64_t seed)
     : shape_(shape), modes_(shape.services, Mode::kNormal), seed_(seed) {
   hosts_.resize(shape.services * shape.hosts);
@@ -456,14 +348,14 @@
   hosts_[host].runs.erase(run);
   UpstreamEnd end;
   if (state.fate == Mode::kCloses) {
-    end.kind = EndKind::kClosed;
+    end.kind = base::EndKind::kClosed;
   } else if (state.fate == Mode::kSheds || state.legs_failed > 0) {
-    end.kind = EndKind::kAnswer;
+    end.kind = base::EndKind::kAnswer;
     end.status = 503;
     // It did nothing itself; what its legs did is for the node to know.
     end.says_not_run = true;
   } else {
-    end.kind = EndKind::kAnswer;
+    end.kind = base::EndKind::kAnswer;
     end.status = 200;
     end.body = "answer " + state.token;
   }
--- a/almondwind/node/upstream_client.cc
+++ b/almondwind/node/upstream_client.cc
@@ -33,20 +33,8 @@
 
 UpstreamEnd Translate(links::HttpEnd end) {
   UpstreamEnd out;
-  switch (end.kind) {
-    case links::HttpEndKind::kAnswer:
-      out.kind = EndKind::kAnswer;
-      break;
-    case links::HttpEndKind::kClosed:
-      out.kind = EndKind::kClosed;
-      return out;
-    case links::HttpEndKind::kUnreachable:
-      out.kind = EndKind::kUnreachable;
-      return out;
-    case links::HttpEndKind::kTooLarge:
-      out.kind = EndKind::kTooLarge;
-      return out;
-  }
+  out.kind = end.kind;
+  if (end.kind != base::EndKind::kAnswer) return out;
   out.status = end.response.result_int();
   out.content_type = std::string(end.response[http::field::content_type]);
   out.says_not_run = end.response["X-Outcome"] == "not_run";
--- a/almondwind/standins/upstreams.cc
+++ b/almondwind/standins/upstreams.cc
@@ -285,7 +285,7 @@
   if (!direct_) {
     auto end =
         Exchange(graph_.Callers(from.host().index), std::move(out), served);
-    if (!end || end->kind != links::HttpEndKind::kAnswer) {
+    if (!end || end->kind != base::EndKind::kAnswer) {
       not_run = false;
       return 0;
     }
@@ -305,7 +305,7 @@
     std::uniform_int_distribution<size_t> any(0, hosts.size() - 1);
     auto end = Exchange(graph_.Upstream(hosts[any(random_)]->host().index), out,
                         served);
-    bool good = end && end->kind == links::HttpEndKind::kAnswer &&
+    bool good = end && end->kind == base::EndKind::kAnswer &&
                 end->response.result_int() == 200;
     if (good) return 200;
   }
--- a/almondwind/teams/testing/teams_test.cc
+++ b/almondwind/teams/testing/teams_test.cc
@@ -201,13 +201,42 @@
   BOOST_TEST(fleet.Behind("/teams/a", 9) == 0U);
 }
 
+namespace {
+
+size_t Readers(const Fleet& fleet) {
+  return static_cast<size_t>(std::count_if(
+      fleet.members.begin(), fleet.members.end(), [&](const auto& member) {
+        return member->relay->ShouldRead(fleet.now);
+      }));
+}
+
+}  // namespace
+
+// Three in each zone, however many nodes there are: 48 in 16 zones.
 BOOST_AUTO_TEST_CASE(few_nodes_read_the_platform) {
+  struct Row {
+    size_t nodes;
+    size_t readers;
+  };
+  for (const Row& row : {Row{3, 3}, Row{99, 9}, Row{300, 9}}) {
+    Fleet fleet(row.nodes);
+    fleet.Run(2000);
+    for (auto& m : fleet.members) m->relay->OnPlatform({}, fleet.now);
+    BOOST_TEST(Readers(fleet) == row.readers);
+  }
+}
+
+// An outage does not bring all nodes down on the platform at once.
+BOOST_AUTO_TEST_CASE(outage_brings_readers_one_after_the_other) {
   Fleet fleet(300);
   fleet.Run(2000);
-  size_t readers = 0;
   for (auto& m : fleet.members) m->relay->OnPlatform({}, fleet.now);
-  for (auto& m : fleet.members) readers += m->relay->ShouldRead(fleet.now);
-  BOOST_TEST(readers == 9U);  // three in each of three zones
+  fleet.Run(2500);
+  BOOST_TEST(Readers(fleet) == 9U);
+  fleet.Run(2500);
+  size_t after_5_s = Readers(fleet);
+  BOOST_TEST(after_5_s > 9U);
+  BOOST_TEST(after_5_s < 100U);
 }
 
 BOOST_AUTO_TEST_CASE(malformed_control_is_a_typed_error) {
--- a/almondwind/zones/directory.cc
+++ b/almondwind/zones/directory.cc
@@ -55,14 +55,17 @@
   std::vector<MachinePtr> old = std::move(list);
   list.clear();
   for (const MachinePtr& machine : old) by_name_.erase(machine->name());
+  std::vector<std::string>& outside = outside_names_[service];
+  for (const std::string& name : outside) outside_.erase(name);
+  outside.clear();
   size_t kept = Arrange(hosts);
   for (size_t i = 0; i < hosts.size(); ++i) {
     const HostEntry& host = hosts[i];
     if (i >= kept) {
       outside_[host.name] = host;
+      outside.push_back(host.name);
       continue;
     }
-    outside_.erase(host.name);
     MachinePtr machine;
     for (const MachinePtr& m : old) {
       if (m->name() == host.name && m->entry().link == host.link) machine = m;
--- a/almondwind/zones/directory.h
+++ b/almondwind/zones/directory.h
@@ -64,8 +64,9 @@
   DirectoryOptions options_;
   std::map<std::string, std::vector<MachinePtr>> services_;
   std::unordered_map<std::string, MachinePtr> by_name_;
-  // Published hosts outside the subsets.
+  // Published hosts outside the subsets, and their names by service.
   std::unordered_map<std::string, HostEntry> outside_;
+  std::map<std::string, std::vector<std::string>> outside_names_;
   std::unordered_map<std::string, MachinePtr> extra_;
 };
 
--- a/almondwind/zones/testing/zones_test.cc
+++ b/almondwind/zones/testing/zones_test.cc
@@ -100,6 +100,9 @@
   }
   BOOST_TEST(reached == 12U + 64U);  // the subset and the bound beside it
   BOOST_TEST(directory.Reach("nobody") == nullptr);
+  // A host that is no longer published is not reached.
+  directory.Update("t/s", Hosts(12, 1));
+  BOOST_TEST(directory.Reach("m99") == nullptr);
 }
 
 BOOST_AUTO_TEST_CASE(ejection_and_careful_return) {
@@ -178,7 +181,7 @@
   BOOST_TEST(entered == 64);
   BOOST_TEST(window.Enter(RequestClass::kCritical));
   for (int i = 0; i < 20; ++i) {
-    window.Leave(/*refused_below=*/true, Millis(50), Millis(100 * i));
+    window.Leave(/*refused_below=*/true, Millis(50), Millis(100) * i);
   }
   double closed = window.size();
   BOOST_TEST(closed < 20);
