Split the long functions of router, relay and server

Cause: read as a newcomer, Router::Choose, Relay::OnMessage and Server::Take did several things each. Change: Judge says of one machine whether it may take a call; one function a control message; MakeRun. No behaviour changes. Conclusion: same decisions in shorter functions.

--- a/almondwind/node/router.cc
+++ b/almondwind/node/router.cc
@@ -79,56 +79,63 @@
   return Choice::kNone;
 }
 
+Router::Fitness Router::Judge(const Call& call, const Machine& machine,
+                              Millis now, std::string_view& why) {
+  RequestClass cls = call.request->cls;
+  const std::vector<std::string>& tried = call.tried;
+  if (std::count(tried.begin(), tried.end(), machine.name()) != 0) {
+    why = "tried";
+    return Fitness::kUnfit;
+  }
+  if (machine.leaving()) {
+    why = "leaving";
+    return Fitness::kUnfit;
+  }
+  LinkState link =
+      IsLocal(machine) ? LinkState::kUp : links_.Prepare(machine.entry());
+  if (link != LinkState::kUp) {
+    why = "no link";
+    return link == LinkState::kDialling ? Fitness::kDialling : Fitness::kUnfit;
+  }
+  // Critical calls are always sent: only a gate may refuse these.
+  bool sheds = machine.RetryAfter(cls, now) > Millis(0);
+  if (sheds && cls != RequestClass::kCritical) {
+    why = "overloaded";
+    return Fitness::kOverloaded;
+  }
+  if (!machine.Usable(now, call.policy->router.eject)) {
+    why = "ejected";
+    return Fitness::kDoubtful;
+  }
+  return Fitness::kFit;
+}
+
 Router::Choice Router::Choose(Call& call, Millis now, MachinePtr& chosen,
                               Decision& decision) {
   if (!call.fixed_host.empty()) return ChooseFixed(call, chosen);
-  const teams::RouterOptions& options = call.policy->router;
-  RequestClass cls = call.request->cls;
-  std::vector<Machine*> usable;
-  std::vector<Machine*> doubtful;  // ejected or silent: better than nothing
+  std::vector<Machine*> fit;
+  std::vector<Machine*> doubtful;  // better than nothing
   bool dialling = false;
   bool overloaded = false;
-  auto pass = [&](const Machine& machine, std::string_view why) {
-    if (log_.enabled()) decision.passed_over.push_back({machine.name(), why});
-  };
   for (const MachinePtr& machine : directory_.Find(call.request->service)) {
-    const std::string& name = machine->name();
-    if (std::count(call.tried.begin(), call.tried.end(), name) != 0) {
-      pass(*machine, "tried");
-      continue;
-    }
-    if (machine->leaving()) {
-      pass(*machine, "leaving");
-      continue;
-    }
-    LinkState state =
-        IsLocal(*machine) ? LinkState::kUp : links_.Prepare(machine->entry());
-    if (state != LinkState::kUp) {
-      dialling = dialling || state == LinkState::kDialling;
-      pass(*machine, "no link");
-      continue;
+    std::string_view why;
+    Fitness fitness = Judge(call, *machine, now, why);
+    if (fitness == Fitness::kFit) fit.push_back(machine.get());
+    if (fitness == Fitness::kDoubtful) doubtful.push_back(machine.get());
+    dialling = dialling || fitness == Fitness::kDialling;
+    overloaded = overloaded || fitness == Fitness::kOverloaded;
+    if (log_.enabled() && !why.empty()) {
+      decision.passed_over.push_back({machine->name(), why});
     }
-    // Critical calls are always sent: only a gate may refuse these.
-    bool sheds = machine->RetryAfter(cls, now) > Millis(0);
-    if (sheds && cls != RequestClass::kCritical) {
-      overloaded = true;
-      pass(*machine, "overloaded");
-      continue;
-    }
-    if (!machine->Usable(now, options.eject)) {
-      doubtful.push_back(machine.get());
-      pass(*machine, "ejected");
-      continue;
-    }
-    usable.push_back(machine.get());
   }
-  std::vector<Machine*>& from = usable.empty() ? doubtful : usable;
+  const std::vector<Machine*>& from = fit.empty() ? doubtful : fit;
   if (from.empty()) {
     if (overloaded) return Choice::kOverloaded;
     return dialling ? Choice::kDialling : Choice::kNone;
   }
+  const teams::RouterOptions& options = call.policy->router;
   zones::PickContext context;
-  context.cls = cls;
+  context.cls = call.request->cls;
   context.now = now;
   context.zone = zone_;
   context.region = region_;
--- a/almondwind/node/router.h
+++ b/almondwind/node/router.h
@@ -27,6 +27,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -120,7 +121,18 @@
     uint64_t incarnation = 0;
   };
 
+  // Whether a machine may take a call; all but kFit come with a reason.
+  enum class Fitness : uint8_t {
+    kFit,
+    kDoubtful,  // ejected or silent
+    kOverloaded,
+    kDialling,
+    kUnfit
+  };
+
   void Attempt(const CallPtr& call, base::Millis now);
+  Fitness Judge(const Call& call, const zones::Machine& machine,
+                base::Millis now, std::string_view& why);
   Choice Choose(Call& call, base::Millis now, zones::MachinePtr& chosen,
                 Decision& decision);
   Choice ChooseFixed(Call& call, zones::MachinePtr& chosen);
--- a/almondwind/node/server.cc
+++ b/almondwind/node/server.cc
@@ -90,9 +90,20 @@
   // Of an order only the ledger may say "not run": an earlier copy may have
   // run here.
   if (call.order && !TakeOrder(call, now)) return;
+  RunPtr run = MakeRun(call, now + left);
+  runs_[run->id] = run;
+  by_origin_[{origin.session, origin.id}] = run->id;
+  if (call.service != options_.service) {
+    return Refused(*run, Reason::kUnknownService);
+  }
+  if (runs_.size() > options_.runs) return Refused(*run, Reason::kTooManyCalls);
+  gate_.Offer(run, now);
+}
+
+RunPtr Server::MakeRun(const Call& call, Millis deadline) {
   RunPtr run = new Run();
   run->id = next_run_++;
-  run->origin = origin;
+  run->origin = {call.session, call.id};
   run->permits = call.permits;
   machines::RequestPtr request = new machines::Request();
   request->id = call.request_id;
@@ -101,19 +112,13 @@
   request->cls = static_cast<base::RequestClass>(call.cls);
   request->order = call.order;
   request->key = call.key;
-  request->deadline = now + left;
+  request->deadline = deadline;
   request->method = call.method;
   request->target = call.target;
   request->content_type = call.content_type;
   request->body = call.body;
   run->request = request;
-  runs_[run->id] = run;
-  by_origin_[{origin.session, origin.id}] = run->id;
-  if (call.service != options_.service) {
-    return Refused(*run, Reason::kUnknownService);
-  }
-  if (runs_.size() > options_.runs) return Refused(*run, Reason::kTooManyCalls);
-  gate_.Offer(run, now);
+  return run;
 }
 
 bool Server::TakeOrder(const Call& call, Millis now) {
--- a/almondwind/node/server.h
+++ b/almondwind/node/server.h
@@ -102,6 +102,8 @@
   base::Millis TimeLeft(const links::Call& call, Session& session,
                         base::Millis now);
   void Take(const links::Call& call, base::Millis left, base::Millis now);
+  machines::RunPtr MakeRun(const links::Call& call, base::Millis deadline);
+  // Whether an order may go on to the gate; if not, it has been answered.
   bool TakeOrder(const links::Call& call, base::Millis now);
   void IssueContract(const links::Call& call, base::Millis now);
   void CancelRun(machines::Run& run, base::Millis now);
--- a/almondwind/teams/relay.cc
+++ b/almondwind/teams/relay.cc
@@ -9,8 +9,6 @@
 #include "almondwind/base/outcome.h"
 
 namespace almondwind::teams {
-namespace {
-
 using base::Millis;
 
 enum class ControlType : uint8_t { kSummary, kVersions, kWant, kValues };
@@ -34,6 +32,8 @@
   MSGPACK_DEFINE(type, from, age_ms, digest, buckets, values)
 };
 
+namespace {
+
 std::string Pack(const ControlMessage& message) {
   msgpack::sbuffer buffer;
   msgpack::pack(buffer, message);
@@ -121,20 +121,14 @@
 }
 
 void Relay::SendSummary(const std::string& address, Millis now) {
-  ControlMessage message;
-  message.type = static_cast<uint8_t>(ControlType::kSummary);
-  message.from = options_.control;
-  message.age_ms = Age(now).count();
+  ControlMessage message = NewMessage(ControlType::kSummary, now);
   message.digest.assign(store_.digest().begin(), store_.digest().end());
   Send(address, Pack(message));
 }
 
 void Relay::SendValues(const std::string& address,
                        const std::vector<Value>& values, Millis now) {
-  ControlMessage message;
-  message.type = static_cast<uint8_t>(ControlType::kValues);
-  message.from = options_.control;
-  message.age_ms = Age(now).count();
+  ControlMessage message = NewMessage(ControlType::kValues, now);
   size_t bytes = 0;
   for (const Value& value : values) {
     if (bytes > 0 && bytes + value.text.size() > options_.message_bytes) {
@@ -189,76 +183,95 @@
 
 void Relay::OnMessage(std::string_view bytes, Millis now) {
   ControlMessage in = Unpack(bytes);
+  switch (static_cast<ControlType>(in.type)) {
+    case ControlType::kSummary:
+      return OnSummary(in, now);
+    case ControlType::kVersions:
+      return OnVersions(in, now);
+    case ControlType::kWant:
+      return OnWant(in, now);
+    case ControlType::kValues:
+      return OnValues(in, now);
+  }
+  throw base::Error(base::Reason::kMalformed, "control message of no type");
+}
+
+ControlMessage Relay::NewMessage(ControlType type, Millis now) const {
   ControlMessage out;
+  out.type = static_cast<uint8_t>(type);
   out.from = options_.control;
   out.age_ms = Age(now).count();
-  switch (static_cast<ControlType>(in.type)) {
-    case ControlType::kSummary: {
-      if (in.digest.size() != kBuckets) {
-        throw base::Error(base::Reason::kMalformed, "digest of another size");
-      }
-      out.type = static_cast<uint8_t>(ControlType::kVersions);
-      for (size_t i = 0; i < kBuckets; ++i) {
-        if (in.digest[i] == store_.digest().at(i)) continue;
-        out.buckets.push_back(static_cast<uint8_t>(i));
-        for (Value& v : store_.Versions(i)) {
-          out.values.push_back({std::move(v.path), v.version, ""});
-        }
-      }
-      if (out.buckets.empty()) Confirm(in.age_ms, now);
-      // Sent even when nothing differs: a fresh node waits for it.
-      Send(in.from, Pack(out));
-      return;
-    }
-    case ControlType::kVersions: {
-      if (in.buckets.empty()) Confirm(in.age_ms, now);
-      std::map<std::string, uint64_t> theirs;
-      for (const WireValue& v : in.values) theirs[v.path] = v.version;
-      out.type = static_cast<uint8_t>(ControlType::kWant);
-      for (const auto& [path, version] : theirs) {
-        const Value* mine = store_.Find(path);
-        if (mine == nullptr || mine->version < version) {
-          out.values.push_back({path, version, ""});
-        }
-      }
-      if (!heard_peer_) {
-        for (const WireValue& v : out.values) boot_wants_.insert(v.path);
-        heard_peer_ = boot_wants_.empty();
-      }
-      if (!out.values.empty()) Send(in.from, Pack(out));
-      std::vector<Value> newer;
-      for (uint8_t bucket : in.buckets) {
-        if (bucket >= kBuckets) continue;
-        for (const Value& v : store_.Versions(bucket)) {
-          auto it = theirs.find(v.path);
-          if (it == theirs.end() || it->second < v.version) {
-            newer.push_back(*store_.Find(v.path));
-          }
-        }
-      }
-      if (!newer.empty()) SendValues(in.from, newer, now);
-      return;
+  return out;
+}
+
+void Relay::OnSummary(const ControlMessage& in, Millis now) {
+  if (in.digest.size() != kBuckets) {
+    throw base::Error(base::Reason::kMalformed, "digest of another size");
+  }
+  ControlMessage out = NewMessage(ControlType::kVersions, now);
+  for (size_t i = 0; i < kBuckets; ++i) {
+    if (in.digest[i] == store_.digest().at(i)) continue;
+    out.buckets.push_back(static_cast<uint8_t>(i));
+    for (Value& v : store_.Versions(i)) {
+      out.values.push_back({std::move(v.path), v.version, ""});
     }
-    case ControlType::kWant: {
-      std::vector<Value> wanted;
-      for (const WireValue& v : in.values) {
-        if (const Value* mine = store_.Find(v.path)) wanted.push_back(*mine);
-      }
-      if (!wanted.empty()) SendValues(in.from, wanted, now);
-      return;
+  }
+  if (out.buckets.empty()) Confirm(in.age_ms, now);
+  // Sent even when nothing differs: a fresh node waits for it.
+  Send(in.from, Pack(out));
+}
+
+void Relay::OnVersions(const ControlMessage& in, Millis now) {
+  if (in.buckets.empty()) Confirm(in.age_ms, now);
+  std::map<std::string, uint64_t> theirs;
+  for (const WireValue& v : in.values) theirs[v.path] = v.version;
+  ControlMessage out = NewMessage(ControlType::kWant, now);
+  for (const auto& [path, version] : theirs) {
+    const Value* mine = store_.Find(path);
+    if (mine == nullptr || mine->version < version) {
+      out.values.push_back({path, version, ""});
     }
-    case ControlType::kValues: {
-      std::vector<Value> values;
-      for (WireValue& v : in.values) {
-        boot_wants_.erase(v.path);
-        values.push_back({std::move(v.path), v.version, std::move(v.text)});
-      }
-      OfferAll(values, now);
-      heard_peer_ = heard_peer_ || boot_wants_.empty();
-      return;
+  }
+  if (!heard_peer_) {
+    for (const WireValue& v : out.values) boot_wants_.insert(v.path);
+    heard_peer_ = boot_wants_.empty();
+  }
+  if (!out.values.empty()) Send(in.from, Pack(out));
+  std::vector<Value> newer = NewerThan(theirs, in.buckets);
+  if (!newer.empty()) SendValues(in.from, newer, now);
+}
+
+std::vector<Value> Relay::NewerThan(
+    const std::map<std::string, uint64_t>& theirs,
+    const std::vector<uint8_t>& buckets) const {
+  std::vector<Value> newer;
+  for (uint8_t bucket : buckets) {
+    if (bucket >= kBuckets) continue;
+    for (const Value& v : store_.Versions(bucket)) {
+      auto it = theirs.find(v.path);
+      bool behind = it == theirs.end() || it->second < v.version;
+      if (behind) newer.push_back(*store_.Find(v.path));
     }
   }
-  throw base::Error(base::Reason::kMalformed, "control message of no type");
+  return newer;
+}
+
+void Relay::OnWant(const ControlMessage& in, Millis now) {
+  std::vector<Value> wanted;
+  for (const WireValue& v : in.values) {
+    if (const Value* mine = store_.Find(v.path)) wanted.push_back(*mine);
+  }
+  if (!wanted.empty()) SendValues(in.from, wanted, now);
+}
+
+void Relay::OnValues(const ControlMessage& in, Millis now) {
+  std::vector<Value> values;
+  for (const WireValue& v : in.values) {
+    boot_wants_.erase(v.path);
+    values.push_back({v.path, v.version, v.text});
+  }
+  OfferAll(values, now);
+  heard_peer_ = heard_peer_ || boot_wants_.empty();
 }
 
 bool Relay::ShouldRead(Millis now) const {
--- a/almondwind/teams/relay.h
+++ b/almondwind/teams/relay.h
@@ -31,6 +31,9 @@
 
 namespace almondwind::teams {
 
+enum class ControlType : uint8_t;
+struct ControlMessage;
+
 // Way for control messages; they may be lost.
 class Control {
  public:
@@ -90,6 +93,14 @@
     std::string control;
   };
 
+  void OnSummary(const ControlMessage& in, base::Millis now);
+  void OnVersions(const ControlMessage& in, base::Millis now);
+  void OnWant(const ControlMessage& in, base::Millis now);
+  void OnValues(const ControlMessage& in, base::Millis now);
+  ControlMessage NewMessage(ControlType type, base::Millis now) const;
+  // Returns what of `buckets` is newer here than in `theirs`.
+  std::vector<Value> NewerThan(const std::map<std::string, uint64_t>& theirs,
+                               const std::vector<uint8_t>& buckets) const;
   void ChoosePeers();
   void Send(const std::string& address, const std::string& bytes);
   void SendSummary(const std::string& address, base::Millis now);
