--- a/almondwind/load/load.cc
+++ b/almondwind/load/load.cc
@@ -214,6 +214,8 @@
   if (!answered || end.response.result_int() != 200) {
     runner_.AttemptFailed(token_ + "." + std::to_string(attempt));
   }
+  bool unknown = answered && end.response["X-Outcome"] == "unknown";
+  if (end.kind == EndKind::kClosed || unknown) runner_.report().LostTry();
   if (answered) return OnResponse(end.response);
   if (end.kind == EndKind::kUnreachable) {
     return Again(maybe_ran_ ? Outcome::kUnknown : Outcome::kNotRun, true);
--- a/almondwind/load/report.cc
+++ b/almondwind/load/report.cc
@@ -103,6 +103,7 @@
       {"broken", broken_},
       {"untrue_not_run", untrue_not_run},
       {"client_repeats", repeats_},
+      {"lost_tries", lost_tries_},
       {"goodput_per_s",
        static_cast<double>(Count(Outcome::kAnswered)) / seconds_},
       {"p50_ms", Quantile(0.5)},
--- a/almondwind/load/report.h
+++ b/almondwind/load/report.h
@@ -41,6 +41,9 @@
   void Ended(const Ending& ending);
   // An answer that was not the whole answer to its own request.
   void Broken() { ++broken_; }
+  // A try of a caller that ended without an answer, or as unknown; the repeat
+  // that follows may hide it from the counts of whole requests.
+  void LostTry() { ++lost_tries_; }
   // Time from sending to a refusal, in milliseconds.
   void Refused(double ms) { refusal_ms_.push_back(ms); }
 
@@ -85,6 +88,7 @@
   uint64_t offered_ = 0;
   uint64_t broken_ = 0;
   uint64_t repeats_ = 0;
+  uint64_t lost_tries_ = 0;
   std::array<std::array<uint64_t, 3>, base::kClassCount> counts_{};
   decltype(boost::histogram::make_histogram(Axis(400, 0.05, 60'000))) latency_;
   std::vector<Bucket> buckets_;
