Close idle connections before a stopping node exits

Ruled out: links and the upstream (both idle). Change: idle connections are closed first, those with a byte received are answered, and the node exits when none is left.

--- a/almondwind/node/caller_server.cc
+++ b/almondwind/node/caller_server.cc
@@ -2,6 +2,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <boost/asio/defer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
@@ -11,6 +12,7 @@
 #include <chrono>
 #include <nlohmann/json.hpp>
 #include <optional>
+#include <vector>
 
 #include "almondwind/links/mesh.h"
 #include "almondwind/node/node.h"
@@ -38,6 +40,7 @@
 
   void Read();
   void Answer(Reply reply);
+  void CloseIfIdle();
   beast::tcp_stream::executor_type executor() { return stream_.get_executor(); }
 
  private:
@@ -58,6 +61,7 @@
   std::optional<Response> response_;
   uint64_t caller_ = 0;  // of the request in progress
   bool keep_alive_ = true;
+  bool waiting_ = false;  // for a request, of which no byte has been read
 };
 
 namespace {
@@ -91,6 +95,7 @@
 }  // namespace
 
 void CallerSession::Read() {
+  waiting_ = true;
   parser_.emplace();
   parser_->header_limit(static_cast<uint32_t>(server_.options_.header_bytes));
   parser_->body_limit(server_.options_.body_bytes);
@@ -101,7 +106,16 @@
       [self = shared_from_this()](error_code ec, size_t) { self->OnRead(ec); });
 }
 
+void CallerSession::CloseIfIdle() {
+  error_code ec;
+  bool silent = buffer_.size() == 0 && stream_.socket().available(ec) == 0;
+  if (!waiting_ || !silent) return;
+  stream_.socket().close(ec);
+}
+
 void CallerSession::OnRead(error_code ec) {
+  waiting_ = false;
+  if (ec == net::error::operation_aborted) return;
   if (ec == http::error::body_limit) {
     keep_alive_ = false;
     return Refuse(base::Error(base::Reason::kBodyTooLarge, "request body"));
@@ -245,7 +259,10 @@
         if (!ec && room) {
           error_code ignored;
           socket.set_option(net::ip::tcp::no_delay(true), ignored);
-          std::make_shared<CallerSession>(*this, std::move(socket))->Read();
+          auto session =
+              std::make_shared<CallerSession>(*this, std::move(socket));
+          Remember(session);
+          session->Read();
         }
         Accept();
       });
@@ -258,6 +275,32 @@
   });
 }
 
+void CallerServer::Remember(const std::shared_ptr<CallerSession>& session) {
+  std::lock_guard<std::mutex> lock(mutex_);
+  // At most as many ended ones are kept as there are open ones, and some.
+  if (sessions_.size() > 2 * static_cast<size_t>(connections_) + 16) {
+    auto ended = [](const auto& weak) { return weak.expired(); };
+    sessions_.erase(std::remove_if(sessions_.begin(), sessions_.end(), ended),
+                    sessions_.end());
+  }
+  sessions_.push_back(session);
+}
+
+void CallerServer::CloseIdle() {
+  std::vector<std::shared_ptr<CallerSession>> open;
+  {
+    std::lock_guard<std::mutex> lock(mutex_);
+    for (auto& weak : sessions_) {
+      if (auto session = weak.lock()) open.push_back(std::move(session));
+    }
+  }
+  for (auto& session : open) {
+    CallerSession* raw = session.get();
+    net::post(raw->executor(),
+              [session = std::move(session)] { session->CloseIfIdle(); });
+  }
+}
+
 uint64_t CallerServer::Enroll(const std::shared_ptr<CallerSession>& session) {
   std::lock_guard<std::mutex> lock(mutex_);
   uint64_t caller = next_caller_++;
--- a/almondwind/node/caller_server.h
+++ b/almondwind/node/caller_server.h
@@ -20,6 +20,7 @@
 #include <mutex>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 #include "almondwind/node/shell.h"
 
@@ -48,6 +49,9 @@
   void CloseAfterAnswers() { closing_ = true; }
   // Takes no further connection.
   void StopAccepting();
+  // Closes the connections on which no request is under way. A request that
+  // has reached this host is answered first.
+  void CloseIdle();
 
   void Answer(uint64_t caller, Reply reply) override;
 
@@ -57,6 +61,7 @@
   friend class CallerSession;
 
   void Accept();
+  void Remember(const std::shared_ptr<CallerSession>& session);
   uint64_t Enroll(const std::shared_ptr<CallerSession>& session);
   void Strike(uint64_t caller);
 
@@ -69,6 +74,7 @@
   std::mutex mutex_;
   uint64_t next_caller_ = 1;
   std::unordered_map<uint64_t, std::shared_ptr<CallerSession>> callers_;
+  std::vector<std::weak_ptr<CallerSession>> sessions_;  // pruned at times
 };
 
 }  // namespace almondwind::node
--- a/almondwind/node/process.cc
+++ b/almondwind/node/process.cc
@@ -160,9 +160,11 @@
   Millis gone = clock_.Now() - stop_began_;
   bool lingered = gone >= Millis(settings_.stop_linger_ms);
   bool late = gone >= Millis(settings_.stop_limit_ms);
-  if (lingered) callers_.StopAccepting();
-  bool closed = callers_.connection_count() == 0 ||
-                gone >= Millis(2 * settings_.stop_linger_ms);
+  if (lingered) {
+    callers_.StopAccepting();
+    callers_.CloseIdle();
+  }
+  bool closed = callers_.connection_count() == 0;
   if ((lingered && closed && node_.idle()) || late) {
     return EndStop(node_.idle() ? 0 : 1);
   }
