--- a/almondwind/cli/main.cc
+++ b/almondwind/cli/main.cc
@@ -11,6 +11,7 @@
 #include "almondwind/node/process.h"
 #include "almondwind/node/settings.h"
 #include "almondwind/teams/knob.h"
+#include "platform/run.h"
 
 namespace {
 
@@ -42,6 +43,9 @@
         almondwind::node::RunNode(almondwind::node::ReadSettingsFile(settings));
   });
 
+  app.add_subcommand("sidecar", "run the node of a server on the platform")
+      ->callback([&] { code = platform::RunSidecar(); });
+
   almondwind::load::LoadOptions load;
   auto* load_app = app.add_subcommand("load", "offer a mix of requests");
   almondwind::load::AddOptions(*load_app, load);
--- /dev/null
+++ b/almondwind/fleet/view.cc
@@ -0,0 +1,120 @@
+#include "almondwind/fleet/view.h"
+
+#include <algorithm>
+#include <set>
+#include <tuple>
+
+namespace almondwind::fleet {
+
+using base::Millis;
+
+bool Upstream::SameAs(const Upstream& o) const {
+  return std::tie(id, service, address, zone, slots, draining, started_at) ==
+             std::tie(o.id, o.service, o.address, o.zone, o.slots, o.draining,
+                      o.started_at) &&
+         cold_left == o.cold_left;
+}
+
+bool View::Replace(const std::vector<Upstream>& upstreams, uint64_t revision,
+                   Millis now) {
+  if (revision <= revision_ && revision_ != 0) return false;
+  bool changed = false;
+  std::set<std::string> present;
+  for (const Upstream& upstream : upstreams) {
+    present.insert(upstream.id);
+    changed = Put(upstream) || changed;
+  }
+  std::vector<std::string> missing;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (present.count(id) == 0 && upstream.revision < revision) {
+      missing.push_back(id);
+    }
+  }
+  for (const std::string& id : missing) {
+    changed = Remove(id, revision, now) || changed;
+  }
+  Advance(revision);
+  return changed;
+}
+
+bool View::Put(const Upstream& upstream) {
+  Upstream& kept = upstreams_[upstream.id];
+  if (upstream.revision < kept.revision) return false;
+  vanishing_.erase(upstream.id);
+  bool changed = !kept.SameAs(upstream);
+  kept = upstream;
+  return changed;
+}
+
+bool View::Remove(const std::string& id, uint64_t revision, Millis now) {
+  auto it = upstreams_.find(id);
+  if (it == upstreams_.end()) return false;
+  if (revision < it->second.revision) return false;
+  it->second.revision = revision;
+  Vanish(id, now);
+  return true;
+}
+
+void View::Vanish(const std::string& id, Millis now) {
+  auto it = upstreams_.find(id);
+  if (it == upstreams_.end() || vanishing_.count(id) != 0) return;
+  if (it->second.draining) {
+    upstreams_.erase(it);
+    return;
+  }
+  Millis until = now + options_.vanish_hold;
+  vanishing_[id] = std::max(until, recovering_until_);
+}
+
+void View::Advance(uint64_t revision) {
+  revision_ = std::max(revision_, revision);
+}
+
+void View::OnStoreReturned(Millis now) {
+  recovering_until_ = now + options_.recovery_hold;
+  for (auto& [id, until] : vanishing_) {
+    until = std::max(until, recovering_until_);
+  }
+}
+
+bool View::Sweep(Millis now) {
+  bool removed = false;
+  for (auto it = vanishing_.begin(); it != vanishing_.end();) {
+    if (it->second > now) {
+      ++it;
+      continue;
+    }
+    upstreams_.erase(it->first);
+    it = vanishing_.erase(it);
+    removed = true;
+  }
+  return removed;
+}
+
+Millis View::UntilSweep(Millis now) const {
+  if (vanishing_.empty()) return Millis(-1);
+  Millis first = vanishing_.begin()->second;
+  for (const auto& [id, until] : vanishing_) first = std::min(first, until);
+  return std::max(Millis(0), first - now);
+}
+
+const Upstream* View::AtAddress(std::string_view address) const {
+  const Upstream* found = nullptr;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.address != address) continue;
+    if (found == nullptr || upstream.started_at > found->started_at) {
+      found = &upstream;
+    }
+  }
+  return found;
+}
+
+std::vector<Upstream> View::List() const {
+  std::vector<Upstream> out;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (vanishing_.count(id) == 0) out.push_back(upstream);
+  }
+  return out;
+}
+
+}  // namespace almondwind::fleet
--- /dev/null
+++ b/almondwind/http/message.cc
@@ -0,0 +1,120 @@
+#include "almondwind/http/message.h"
+
+#include <algorithm>
+#include <array>
+#include <ostream>  // Beast's headers use it
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+#include <boost/beast/http/status.hpp>
+
+namespace almondwind::http {
+namespace {
+
+namespace beast = boost::beast;
+
+constexpr std::array<std::string_view, 9> kConnectionFields = {
+    "Connection", "Keep-Alive",       "Proxy-Connection",
+    "TE",         "Trailer",          "Transfer-Encoding",
+    "Upgrade",    "Content-Length",   "Proxy-Authenticate"};
+
+beast::string_view View(std::string_view text) {
+  return {text.data(), text.size()};
+}
+
+void AppendFields(const Headers& headers, std::string& out) {
+  for (const Header& field : headers.fields()) {
+    out.append(field.name).append(": ").append(field.value).append("\r\n");
+  }
+}
+
+void AppendLength(size_t length, std::string& out) {
+  out.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
+}
+
+// Whether a message without a body says so by a length of zero.
+bool MayHaveBody(std::string_view method) {
+  return method != "GET" && method != "HEAD" && method != "DELETE" &&
+         method != "OPTIONS" && method != "TRACE";
+}
+
+bool HasNoBody(int status) {
+  return status / 100 == 1 || status == 204 || status == 304;
+}
+
+}  // namespace
+
+bool EqualNoCase(std::string_view a, std::string_view b) {
+  return a.size() == b.size() && beast::iequals(View(a), View(b));
+}
+
+const std::string* Headers::Find(std::string_view name) const {
+  for (const Header& field : fields_) {
+    if (EqualNoCase(field.name, name)) return &field.value;
+  }
+  return nullptr;
+}
+
+size_t Headers::Count(std::string_view name) const {
+  return static_cast<size_t>(
+      std::count_if(fields_.begin(), fields_.end(), [name](const Header& f) {
+        return EqualNoCase(f.name, name);
+      }));
+}
+
+void Headers::Remove(std::string_view name) {
+  fields_.erase(std::remove_if(fields_.begin(), fields_.end(),
+                               [name](const Header& f) {
+                                 return EqualNoCase(f.name, name);
+                               }),
+                fields_.end());
+}
+
+void Headers::RemoveConnectionFields() {
+  std::vector<std::string> named;
+  for (const Header& field : fields_) {
+    if (!EqualNoCase(field.name, "Connection")) continue;
+    for (beast::string_view token : beast::http::token_list(View(field.value))) {
+      named.emplace_back(token.data(), token.size());
+    }
+  }
+  for (std::string_view name : kConnectionFields) Remove(name);
+  for (const std::string& name : named) Remove(name);
+}
+
+bool Headers::HasToken(std::string_view name, std::string_view token) const {
+  for (const Header& field : fields_) {
+    if (!EqualNoCase(field.name, name)) continue;
+    beast::http::token_list list(View(field.value));
+    if (list.exists(View(token))) return true;
+  }
+  return false;
+}
+
+void Append(const Request& request, std::string& out) {
+  out.append(request.method).append(" ").append(request.target);
+  out.append(" HTTP/1.1\r\n");
+  AppendFields(request.headers, out);
+  if (!request.body.empty() || MayHaveBody(request.method)) {
+    AppendLength(request.body.size(), out);
+  }
+  out.append("\r\n").append(request.body);
+}
+
+void Append(const Response& response, bool to_head, std::string& out) {
+  out.append("HTTP/1.1 ").append(std::to_string(response.status));
+  out.append(" ").append(response.reason).append("\r\n");
+  AppendFields(response.headers, out);
+  if (!response.keep_alive) out.append("Connection: close\r\n");
+  if (!HasNoBody(response.status)) AppendLength(response.body.size(), out);
+  out.append("\r\n");
+  if (!to_head && !HasNoBody(response.status)) out.append(response.body);
+}
+
+std::string ReasonPhrase(int status) {
+  auto phrase = beast::http::obsolete_reason(
+      beast::http::int_to_status(static_cast<unsigned>(status)));
+  return {phrase.data(), phrase.size()};
+}
+
+}  // namespace almondwind::http
--- /dev/null
+++ b/almondwind/http/reader.cc
@@ -0,0 +1,231 @@
+#include "almondwind/http/reader.h"
+
+#include <algorithm>
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/basic_parser.hpp>
+#include <utility>
+
+namespace almondwind::http {
+namespace {
+
+namespace beast = boost::beast;
+using beast::error_code;
+using BeastView = beast::string_view;
+
+// Room reserved at once for a body whose length is announced; a larger one
+// grows as its bytes come, so that an announcement alone costs nothing.
+constexpr uint64_t kReserveBytes = 64u << 10;
+
+std::string Text(BeastView view) { return {view.data(), view.size()}; }
+
+ReadState StateOf(const error_code& ec) {
+  if (ec == beast::http::error::header_limit) {
+    return ReadState::kHeaderTooLarge;
+  }
+  if (ec == beast::http::error::body_limit) return ReadState::kBodyTooLarge;
+  return ReadState::kMalformed;
+}
+
+bool ChunkedOnly(const Headers& headers) {
+  const std::string* encoding = headers.Find("Transfer-Encoding");
+  return encoding == nullptr || (headers.Count("Transfer-Encoding") == 1 &&
+                                 EqualNoCase(*encoding, "chunked"));
+}
+
+// Collects one message from Beast's events.
+template <bool kRequest, typename Message>
+class Collector : public beast::http::basic_parser<kRequest> {
+ public:
+  explicit Collector(const ReaderOptions& options) {
+    this->header_limit(options.header_bytes);
+    this->body_limit(options.body_bytes);
+    this->eager(true);
+  }
+
+  Message message;
+  bool header_done = false;
+
+  // Parses the front of `buffer` and removes it. Returns whether the message
+  // is complete.
+  bool Parse(std::string& buffer, error_code& ec) {
+    size_t used = 0;
+    while (!this->is_done()) {
+      size_t step = this->put(
+          boost::asio::buffer(buffer.data() + used, buffer.size() - used), ec);
+      used += step;
+      if (ec == beast::http::error::need_more) {
+        ec = {};
+        if (step == 0 || used == buffer.size()) break;
+      }
+      if (ec) break;
+    }
+    buffer.erase(0, used);
+    return !ec && this->is_done();
+  }
+
+ protected:
+  void on_request_impl(beast::http::verb, BeastView method, BeastView target,
+                       int version, error_code&) override {
+    if constexpr (kRequest) {
+      message.method = Text(method);
+      message.target = Text(target);
+      http10_ = version < 11;
+    }
+  }
+  void on_response_impl(int code, BeastView reason, int version,
+                        error_code&) override {
+    if constexpr (!kRequest) {
+      message.status = code;
+      message.reason = Text(reason);
+      http10_ = version < 11;
+    }
+  }
+  void on_field_impl(beast::http::field, BeastView name, BeastView value,
+                     error_code&) override {
+    if (header_done) return;  // a trailer
+    message.headers.Add({name.data(), name.size()},
+                        {value.data(), value.size()});
+  }
+  void on_header_impl(error_code& ec) override {
+    header_done = true;
+    message.keep_alive = this->keep_alive();
+    bool encoded = message.headers.Find("Transfer-Encoding") != nullptr;
+    bool good = ChunkedOnly(message.headers) && !(encoded && http10_);
+    if constexpr (kRequest) {
+      good = good && message.headers.Count("Host") == 1 &&
+             !message.target.empty() && message.target[0] == '/';
+    }
+    if (!good) ec = beast::http::error::bad_transfer_encoding;
+  }
+  void on_body_init_impl(const boost::optional<std::uint64_t>& length,
+                         error_code&) override {
+    if (length) {
+      message.body.reserve(
+          static_cast<size_t>(std::min<uint64_t>(*length, kReserveBytes)));
+    }
+  }
+  size_t on_body_impl(BeastView body, error_code&) override {
+    message.body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_chunk_header_impl(std::uint64_t, BeastView, error_code&) override {}
+  size_t on_chunk_body_impl(std::uint64_t, BeastView body,
+                            error_code&) override {
+    message.body.append(body.data(), body.size());
+    return body.size();
+  }
+  void on_finish_impl(error_code&) override {}
+
+ private:
+  bool http10_ = false;
+};
+
+}  // namespace
+
+class RequestReader::Parser : public Collector<true, Request> {
+  using Collector::Collector;
+};
+class ResponseReader::Parser : public Collector<false, Response> {
+  using Collector::Collector;
+};
+
+RequestReader::RequestReader(const ReaderOptions& options)
+    : options_(options) {}
+RequestReader::~RequestReader() = default;
+
+ReadState RequestReader::Next() {
+  if (complete_) return ReadState::kComplete;
+  if (parser_ == nullptr) {
+    // Blank lines between messages are allowed (RFC 9112, 2.2).
+    while (buffer_.compare(0, 2, "\r\n") == 0) buffer_.erase(0, 2);
+    if (buffer_.empty()) return ReadState::kPartial;
+    parser_ = std::make_unique<Parser>(options_);
+    continue_sent_ = false;
+  }
+  error_code ec;
+  complete_ = parser_->Parse(buffer_, ec);
+  if (ec) return StateOf(ec);
+  if (!complete_ && !parser_->header_done &&
+      buffer_.size() > options_.header_bytes) {
+    return ReadState::kHeaderTooLarge;
+  }
+  return complete_ ? ReadState::kComplete : ReadState::kPartial;
+}
+
+Request RequestReader::Take() {
+  Request request = std::move(parser_->message);
+  parser_.reset();
+  complete_ = false;
+  return request;
+}
+
+bool RequestReader::in_message() const {
+  return parser_ != nullptr || !buffer_.empty();
+}
+
+bool RequestReader::in_header() const {
+  return in_message() && (parser_ == nullptr || !parser_->header_done);
+}
+
+bool RequestReader::TakeExpectContinue() {
+  if (parser_ == nullptr || !parser_->header_done || continue_sent_) {
+    return false;
+  }
+  const std::string* expect = parser_->message.headers.Find("Expect");
+  if (expect == nullptr || !EqualNoCase(*expect, "100-continue")) return false;
+  continue_sent_ = true;
+  return true;
+}
+
+ResponseReader::ResponseReader(const ReaderOptions& options)
+    : options_(options) {}
+ResponseReader::~ResponseReader() = default;
+
+ReadState ResponseReader::Next(bool to_head) {
+  while (!complete_) {
+    if (parser_ == nullptr) {
+      if (buffer_.empty()) return ReadState::kPartial;
+      parser_ = std::make_unique<Parser>(options_);
+      parser_->skip(to_head);
+    }
+    error_code ec;
+    complete_ = parser_->Parse(buffer_, ec);
+    if (ec) return StateOf(ec);
+    if (!complete_) return ReadState::kPartial;
+    if (parser_->message.status / 100 == 1) {
+      parser_.reset();
+      complete_ = false;
+    }
+  }
+  return ReadState::kComplete;
+}
+
+ReadState ResponseReader::Finish(bool to_head) {
+  ReadState state = Next(to_head);
+  if (state != ReadState::kPartial || parser_ == nullptr) return state;
+  if (!parser_->header_done) return ReadState::kMalformed;
+  error_code ec;
+  parser_->put_eof(ec);
+  if (ec) return ReadState::kMalformed;
+  complete_ = parser_->is_done();
+  return complete_ ? ReadState::kComplete : ReadState::kMalformed;
+}
+
+Response ResponseReader::Take() {
+  Response response = std::move(parser_->message);
+  parser_.reset();
+  complete_ = false;
+  return response;
+}
+
+void ResponseReader::Reset() {
+  buffer_.clear();
+  parser_.reset();
+  complete_ = false;
+}
+
+bool ResponseReader::in_message() const {
+  return parser_ != nullptr || !buffer_.empty();
+}
+
+}  // namespace almondwind::http
--- /dev/null
+++ b/almondwind/http/reader.h
@@ -0,0 +1,99 @@
+// Incremental reading of HTTP/1.1 messages from the bytes of a connection.
+//
+// A reader is fed bytes as they come, split anywhere, and gives out whole
+// messages in order. Parsing is Boost.Beast's; on top of it a reader refuses
+// what lets two parsers see different messages (request smuggling): a
+// Transfer-Encoding other than "chunked", one in HTTP/1.0, a missing or
+// doubled Host, a target that is no path.
+//
+//   reader.Feed(bytes);
+//   while (reader.Next() == ReadState::kComplete) Use(reader.Take());
+//
+// Bounds: ReaderOptions. Cost: one copy of header and body.
+#ifndef ALMONDWIND_HTTP_READER_H_
+#define ALMONDWIND_HTTP_READER_H_
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+#include "almondwind/http/message.h"
+
+namespace almondwind::http {
+
+enum class ReadState : uint8_t {
+  kPartial,         // more bytes are needed
+  kComplete,        // Take has a message
+  kMalformed,       // the rest of the connection cannot be read
+  kHeaderTooLarge,  // over ReaderOptions::header_bytes
+  kBodyTooLarge     // over ReaderOptions::body_bytes
+};
+
+struct ReaderOptions {
+  uint32_t header_bytes = 16u << 10;
+  uint64_t body_bytes = 64u << 20;
+};
+
+class RequestReader {
+ public:
+  explicit RequestReader(const ReaderOptions& options);
+  ~RequestReader();
+
+  void Feed(std::string_view bytes) { buffer_.append(bytes); }
+  // Parses on. After kComplete, Take must be called before the next Next.
+  ReadState Next();
+  Request Take();
+
+  // Whether bytes of a message that is not complete have been fed.
+  bool in_message() const;
+  // Whether the header of the message in progress is still to come.
+  bool in_header() const;
+  // Whether the message in progress waits for the client's body before an
+  // interim answer "100 Continue" (once a message).
+  bool TakeExpectContinue();
+  // Bytes held.
+  size_t buffered() const { return buffer_.size(); }
+  void Configure(const ReaderOptions& options) { options_ = options; }
+
+ private:
+  class Parser;
+
+  ReaderOptions options_;
+  std::string buffer_;
+  std::unique_ptr<Parser> parser_;
+  bool complete_ = false;
+  bool continue_sent_ = false;
+};
+
+class ResponseReader {
+ public:
+  explicit ResponseReader(const ReaderOptions& options);
+  ~ResponseReader();
+
+  void Feed(std::string_view bytes) { buffer_.append(bytes); }
+  // `to_head`: the next message answers a HEAD request. Interim answers (1xx)
+  // are skipped.
+  ReadState Next(bool to_head);
+  // The connection ended in order: completes a message without a length.
+  ReadState Finish(bool to_head);
+  Response Take();
+  // Forgets all that was fed; for another connection.
+  void Reset();
+
+  // Whether any byte of the message in progress, or beyond the last complete
+  // one, has been fed.
+  bool in_message() const;
+
+ private:
+  class Parser;
+
+  ReaderOptions options_;
+  std::string buffer_;
+  std::unique_ptr<Parser> parser_;
+  bool complete_ = false;
+};
+
+}  // namespace almondwind::http
+
+#endif  // ALMONDWIND_HTTP_READER_H_
--- a/almondwind/links/mesh.cc
+++ b/almondwind/links/mesh.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "almondwind/links/connection.h"
+#include "almondwind/loop/endpoint.h"
 #include "almondwind/node/node.h"
 
 namespace almondwind::links {
@@ -14,28 +15,13 @@
 using node::LinkState;
 using Lock = std::lock_guard<std::mutex>;
 
-net::ip::tcp::endpoint ParseEndpoint(const std::string& address) {
-  size_t colon = address.rfind(':');
-  error_code ec;
-  auto ip = net::ip::make_address(address.substr(0, colon), ec);
-  int port = 0;
-  if (!ec && colon != std::string::npos) {
-    port = std::atoi(address.c_str() + colon + 1);
-  }
-  if (port <= 0 || port > 65535) {
-    throw base::Error(base::Reason::kMalformed,
-                      "\"" + address + "\" is no IP:PORT");
-  }
-  return {ip, static_cast<uint16_t>(port)};
-}
-
 Mesh::Mesh(net::io_context& io, MeshOptions options, const base::Clock& clock)
     : io_(io), options_(std::move(options)), clock_(clock), acceptor_(io) {}
 
 Mesh::~Mesh() = default;
 
 void Mesh::Listen() {
-  net::ip::tcp::endpoint endpoint = ParseEndpoint(options_.listen);
+  net::ip::tcp::endpoint endpoint = loop::ParseEndpoint(options_.listen);
   acceptor_.open(endpoint.protocol());
   acceptor_.set_option(net::socket_base::reuse_address(true));
   acceptor_.bind(endpoint);
@@ -76,7 +62,7 @@
 void Mesh::Connect(const std::string& host, const std::string& address) {
   net::ip::tcp::endpoint endpoint;
   try {
-    endpoint = ParseEndpoint(address);
+    endpoint = loop::ParseEndpoint(address);
   } catch (const base::Error&) {
     Lock lock(mutex_);
     dials_[host].state = LinkState::kDown;
--- a/almondwind/links/mesh.h
+++ b/almondwind/links/mesh.h
@@ -88,9 +88,6 @@
   std::unordered_map<uint64_t, std::shared_ptr<Connection>> sessions_;
 };
 
-// Returns the endpoint of "ip:port". Throws base::Error(kMalformed).
-boost::asio::ip::tcp::endpoint ParseEndpoint(const std::string& address);
-
 }  // namespace almondwind::links
 
 #endif  // ALMONDWIND_LINKS_MESH_H_
--- a/almondwind/links/testing/http_client_test.cc
+++ b/almondwind/links/testing/http_client_test.cc
@@ -3,6 +3,7 @@
 
 #define BOOST_TEST_MODULE http_client
 #include "almondwind/links/http_client.h"
+#include "almondwind/loop/endpoint.h"
 
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
@@ -33,7 +34,7 @@
 
   HttpEnd Ask(http::verb verb) {
     std::optional<HttpEnd> end;
-    client.Send(ParseEndpoint(kAddress), HttpRequest{verb, "/", 11},
+    client.Send(loop::ParseEndpoint(kAddress), HttpRequest{verb, "/", 11},
                 [&end](HttpEnd e) { end = std::move(e); });
     while (!end) io.run_one();
     return *end;
@@ -68,7 +69,7 @@
   boost::asio::io_context io;
   HttpClient client(io, HttpClientOptions());
   std::optional<HttpEnd> end;
-  client.Send(ParseEndpoint("127.0.0.1:20992"),
+  client.Send(loop::ParseEndpoint("127.0.0.1:20992"),
               HttpRequest{http::verb::get, "/", 11},
               [&end](HttpEnd e) { end = std::move(e); });
   while (!end) io.run_one();
@@ -79,7 +80,7 @@
   Server server;
   int unreachable = 0;
   for (int i = 0; i < 3; ++i) {
-    server.client.Send(ParseEndpoint(kAddress),
+    server.client.Send(loop::ParseEndpoint(kAddress),
                        HttpRequest{http::verb::get, "/", 11},
                        [&unreachable](HttpEnd e) {
                          unreachable += e.kind == EndKind::kUnreachable;
--- a/almondwind/load/load.cc
+++ b/almondwind/load/load.cc
@@ -1,4 +1,5 @@
 #include "almondwind/load/load.h"
+#include "almondwind/loop/endpoint.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -50,8 +51,8 @@
   for (const auto& file : std::filesystem::directory_iterator(folder)) {
     if (file.path().extension() != ".toml") continue;
     node::Settings s = node::ReadSettingsFile(file.path().string());
-    entries.all.push_back(links::ParseEndpoint(s.callers));
-    entries.upstreams[s.service].push_back(links::ParseEndpoint(s.upstream));
+    entries.all.push_back(loop::ParseEndpoint(s.callers));
+    entries.upstreams[s.service].push_back(loop::ParseEndpoint(s.upstream));
   }
   return entries;
 }
@@ -339,7 +340,7 @@
   if (options_.admin.empty()) return;
   links::HttpRequest request{http::verb::get, target, 11};
   client_.Send(
-      links::ParseEndpoint(options_.admin), std::move(request),
+      loop::ParseEndpoint(options_.admin), std::move(request),
       [use = std::move(use)](HttpEnd end) { use(end.response.body()); });
 }
 
--- a/almondwind/load/probe.cc
+++ b/almondwind/load/probe.cc
@@ -1,4 +1,5 @@
 #include "almondwind/load/probe.h"
+#include "almondwind/loop/endpoint.h"
 
 #include <fmt/format.h>
 
@@ -37,7 +38,7 @@
   Way way;
   way.name = text.substr(0, equals);
   way.endpoint =
-      links::ParseEndpoint(text.substr(equals + 1, slash - equals - 1));
+      loop::ParseEndpoint(text.substr(equals + 1, slash - equals - 1));
   way.target = text.substr(slash);
   return way;
 }
--- /dev/null
+++ b/almondwind/loop/acceptor.cc
@@ -0,0 +1,47 @@
+#include "almondwind/loop/acceptor.h"
+
+#include <utility>
+
+#include "almondwind/loop/endpoint.h"
+
+namespace almondwind::loop {
+
+namespace net = boost::asio;
+using boost::system::error_code;
+
+namespace {
+// Long enough to let connections end, short against callers' patience.
+constexpr base::Millis kPause{50};
+}  // namespace
+
+Acceptor::Acceptor(net::io_context& io, Timers& timers,
+                   const std::string& address, Handler handler)
+    : acceptor_(io), handler_(std::move(handler)), pause_(timers) {
+  net::ip::tcp::endpoint endpoint = ParseEndpoint(address);
+  acceptor_.open(endpoint.protocol());
+  acceptor_.set_option(net::socket_base::reuse_address(true));
+  acceptor_.bind(endpoint);
+  acceptor_.listen();
+  Accept();
+}
+
+void Acceptor::Accept() {
+  acceptor_.async_accept([this](error_code ec, net::ip::tcp::socket socket) {
+    if (ec == net::error::operation_aborted) return;
+    if (ec == net::error::no_descriptors) {
+      pause_.Start(kPause, [this] { Accept(); });
+      return;
+    }
+    if (!ec) handler_(std::move(socket));
+    if (acceptor_.is_open()) Accept();
+  });
+}
+
+void Acceptor::Close() {
+  pause_.Stop();
+  error_code ec;
+  // A listener that is already closed is what is wanted.
+  acceptor_.close(ec);
+}
+
+}  // namespace almondwind::loop
--- /dev/null
+++ b/almondwind/loop/stream.h
@@ -0,0 +1,116 @@
+// One TCP connection on the event loop: dialled or accepted.
+//
+// Reads go through one buffer of the whole process, so that an idle connection
+// costs no read buffer. Writes are tried at once; what the socket does not
+// take is kept and written later.
+//
+//   StreamPtr stream = Stream::Dial(io, timers, endpoint, options, events);
+//   stream->Write("...");
+//   stream->CloseAfterWrites();
+//
+// Events come from the loop, never from inside a call on the stream. After
+// Close, or after OnEnd, none follow. The owner drops its events by
+// Close before it is destroyed.
+//
+// Bounds: Options::write_bytes waiting to be written, beyond which the stream
+// is reset and ends. Not thread-safe.
+#ifndef ALMONDWIND_LOOP_STREAM_H_
+#define ALMONDWIND_LOOP_STREAM_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/smart_ptr/intrusive_ptr.hpp>
+#include <boost/smart_ptr/intrusive_ref_counter.hpp>
+#include <string>
+#include <string_view>
+
+#include "almondwind/base/clock.h"
+#include "almondwind/loop/timers.h"
+
+namespace almondwind::loop {
+
+// How the other side ended a stream.
+enum class StreamEnd : uint8_t {
+  kClosed,      // orderly, after its last byte
+  kReset,       // by an error, or by silence of the network
+  kUnreachable  // the dial failed
+};
+
+class StreamEvents {
+ public:
+  virtual ~StreamEvents() = default;
+  // A dialled stream stands.
+  virtual void OnConnected() {}
+  virtual void OnData(std::string_view data) = 0;
+  virtual void OnEnd(StreamEnd end) = 0;
+  // All that was written has left the process.
+  virtual void OnDrained() {}
+};
+
+struct StreamOptions {
+  base::Millis dial_timeout{1000};
+  // Time that written bytes may stay unacknowledged before the kernel resets
+  // the connection; it also bounds the silence of an idle one.
+  base::Millis silence{3000};
+  size_t write_bytes = 64u << 20;
+};
+
+class Stream : public boost::intrusive_ref_counter<Stream> {
+ public:
+  using Tcp = boost::asio::ip::tcp;
+
+  static boost::intrusive_ptr<Stream> Dial(boost::asio::io_context& io,
+                                           Timers& timers,
+                                           const Tcp::endpoint& endpoint,
+                                           const StreamOptions& options,
+                                           StreamEvents& events);
+  static boost::intrusive_ptr<Stream> Adopt(Timers& timers, Tcp::socket socket,
+                                            const StreamOptions& options,
+                                            StreamEvents& events);
+
+  void Write(std::string_view data);
+  // Takes no further events; resets if the other side has unread data.
+  void Close();
+  // Writes what waits, tells the other side that no more follows, and reads
+  // on for a moment, so that it gets the last bytes. No events follow.
+  void CloseAfterWrites();
+  // While paused nothing is read, so the other side is held back.
+  void PauseReading();
+  void ResumeReading();
+
+  bool open() const { return events_ != nullptr; }
+  size_t unwritten() const { return out_.size() - out_at_; }
+  const Tcp::endpoint& remote() const { return remote_; }
+
+ private:
+  Stream(Timers& timers, Tcp::socket socket, const StreamOptions& options,
+         StreamEvents& events);
+
+  void Configure();
+  void OnDialled(boost::system::error_code ec);
+  void WaitRead();
+  void OnReadable();
+  void Flush();
+  void WaitWrite();
+  void FinishWrites();
+  void End(StreamEnd end);
+  void Shut();
+
+  Tcp::socket socket_;
+  Tcp::endpoint remote_;
+  const StreamOptions options_;
+  StreamEvents* events_;
+  Timer timer_;  // of the dial, then of the last reads after a close
+  std::string out_;
+  size_t out_at_ = 0;  // bytes of out_ that are written
+  bool connected_ = false;
+  bool reading_ = false;  // a wait for bytes is pending
+  bool paused_ = false;
+  bool writing_ = false;
+  bool finishing_ = false;  // after CloseAfterWrites
+};
+using StreamPtr = boost::intrusive_ptr<Stream>;
+
+}  // namespace almondwind::loop
+
+#endif  // ALMONDWIND_LOOP_STREAM_H_
--- /dev/null
+++ b/almondwind/loop/timers.h
@@ -0,0 +1,77 @@
+// Deadline timers on one event loop.
+//
+// A Timers object arms one operating-system timer for its earliest deadline,
+// so an idle process wakes only when something is due. Resolution is one
+// millisecond; callbacks run on the loop and may schedule or cancel freely.
+//
+//   Timer timer(timers);
+//   timer.Start(base::Millis(250), [this] { OnTimeout(); });
+//
+// Cost: Start and Stop are one ordered-set operation. Not thread-safe.
+#ifndef ALMONDWIND_LOOP_TIMERS_H_
+#define ALMONDWIND_LOOP_TIMERS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/intrusive/set.hpp>
+#include <functional>
+
+#include "almondwind/base/clock.h"
+
+namespace almondwind::loop {
+
+class Timers;
+
+// One pending call; destroying it cancels the call.
+class Timer : public boost::intrusive::set_base_hook<> {
+ public:
+  explicit Timer(Timers& timers) : timers_(timers) {}
+  Timer(const Timer&) = delete;
+  Timer& operator=(const Timer&) = delete;
+  ~Timer() { Stop(); }
+
+  // Calls `callback` once after `delay`; replaces what was pending.
+  void Start(base::Millis delay, std::function<void()> callback);
+  void Stop();
+  bool pending() const { return is_linked(); }
+  base::Millis due() const { return due_; }
+
+  friend bool operator<(const Timer& a, const Timer& b) {
+    return a.due_ < b.due_;
+  }
+
+ private:
+  friend class Timers;
+
+  Timers& timers_;
+  base::Millis due_{0};
+  std::function<void()> callback_;
+};
+
+class Timers {
+ public:
+  Timers(boost::asio::io_context& io, const base::Clock& clock)
+      : clock_(clock), alarm_(io) {}
+  Timers(const Timers&) = delete;
+  Timers& operator=(const Timers&) = delete;
+  ~Timers() { queue_.clear(); }
+
+  base::Millis Now() const { return clock_.Now(); }
+
+ private:
+  friend class Timer;
+
+  void Add(Timer& timer);
+  void Remove(Timer& timer);
+  void Arm();
+  void RunDue();
+
+  const base::Clock& clock_;
+  boost::asio::steady_timer alarm_;
+  base::Millis armed_{0};  // zero: not armed
+  boost::intrusive::multiset<Timer> queue_;
+};
+
+}  // namespace almondwind::loop
+
+#endif  // ALMONDWIND_LOOP_TIMERS_H_
--- a/almondwind/node/caller_server.cc
+++ b/almondwind/node/caller_server.cc
@@ -1,4 +1,5 @@
 #include "almondwind/node/caller_server.h"
+#include "almondwind/loop/endpoint.h"
 
 #include <sys/socket.h>
 
@@ -242,7 +243,7 @@
 CallerServer::~CallerServer() = default;
 
 void CallerServer::Listen() {
-  net::ip::tcp::endpoint endpoint = links::ParseEndpoint(options_.listen);
+  net::ip::tcp::endpoint endpoint = loop::ParseEndpoint(options_.listen);
   acceptor_.open(endpoint.protocol());
   acceptor_.set_option(net::socket_base::reuse_address(true));
   acceptor_.bind(endpoint);
--- a/almondwind/node/upstream_client.cc
+++ b/almondwind/node/upstream_client.cc
@@ -1,4 +1,5 @@
 #include "almondwind/node/upstream_client.h"
+#include "almondwind/loop/endpoint.h"
 
 #include <boost/beast/http/field.hpp>
 #include <utility>
@@ -47,7 +48,7 @@
 UpstreamClient::UpstreamClient(boost::asio::io_context& io,
                                UpstreamClientOptions options)
     : options_(std::move(options)),
-      endpoint_(links::ParseEndpoint(options_.address)),
+      endpoint_(loop::ParseEndpoint(options_.address)),
       http_(io, options_.http) {}
 
 void UpstreamClient::Start(uint64_t run, const machines::Request& request,
--- /dev/null
+++ b/almondwind/peers/frames.cc
@@ -0,0 +1,244 @@
+#include "almondwind/peers/frames.h"
+
+#include <msgpack.hpp>
+
+#include "almondwind/base/outcome.h"
+
+namespace almondwind::peers {
+namespace {
+
+using base::Error;
+using base::Reason;
+
+// Headers on the wire: a known name is a number, any other a text.
+struct WireHeaders {
+  http::Headers& headers;
+  const HeaderNames& names;
+
+  template <typename Packer>
+  void Pack(Packer& out) const {
+    out.pack_array(static_cast<uint32_t>(headers.fields().size() * 2));
+    for (const http::Header& field : headers.fields()) {
+      size_t known = 0;
+      while (known < names.size() &&
+             !http::EqualNoCase(names[known], field.name)) {
+        ++known;
+      }
+      if (known < names.size()) {
+        out.pack(known);
+      } else {
+        out.pack(field.name);
+      }
+      out.pack(field.value);
+    }
+  }
+
+  void Unpack(const msgpack::object& in) {
+    if (in.type != msgpack::type::ARRAY || in.via.array.size % 2 != 0) {
+      throw Error(Reason::kMalformed, "headers of a frame are no list");
+    }
+    for (uint32_t i = 0; i < in.via.array.size; i += 2) {
+      const msgpack::object& name = in.via.array.ptr[i];
+      auto value = in.via.array.ptr[i + 1].as<std::string>();
+      if (name.type != msgpack::type::POSITIVE_INTEGER) {
+        headers.Add(name.as<std::string>(), value);
+      } else if (name.via.u64 < names.size()) {
+        headers.Add(names[name.via.u64], value);
+      } else {
+        throw Error(Reason::kMalformed, "header of a frame has no name");
+      }
+    }
+  }
+};
+
+template <typename F>
+void Fields(F& f, Hello& m) {
+  f(m.protocol, m.address, m.zone, m.incarnation);
+}
+template <typename F>
+void Fields(F& f, RouteCost& m) {
+  f(m.route, m.slot_ms, m.calls);
+}
+template <typename F>
+void Fields(F& f, links::Load& m) {
+  f(m.in_progress, m.limit, m.service_ms, m.wait_ms, m.retry_after_ms,
+    m.leaving);
+}
+template <typename F>
+void Fields(F& f, State& m) {
+  f(m.config_version, m.fleet_revision, m.leaving, m.service, m.load, m.demand,
+    m.costs);
+}
+template <typename F>
+void Fields(F& f, Call& m) {
+  f(m.id, m.upstream, m.route, m.cls, m.idempotent, m.inner, m.time_left_ms,
+    m.caller_service, m.method, m.target, m.headers, m.body);
+}
+template <typename F>
+void Fields(F& f, Cancel& m) {
+  f(m.id);
+}
+template <typename F>
+void Fields(F& f, Answer& m) {
+  f(m.id, m.outcome, m.reason, m.arrived, m.retry_after_ms, m.load, m.status,
+    m.phrase, m.headers, m.body);
+}
+template <typename F>
+void Fields(F& f, Ask& m) {
+  f(m.kind, m.have);
+}
+template <typename F>
+void Fields(F& f, Document& m) {
+  f(m.kind, m.version, m.text);
+}
+
+struct Packer {
+  msgpack::packer<msgpack::sbuffer>& out;
+  const HeaderNames& names;
+
+  template <typename... T>
+  void operator()(T&... field) {
+    out.pack_array(sizeof...(field));
+    (One(field), ...);
+  }
+  template <typename T>
+  void One(T& field) {
+    if constexpr (std::is_same_v<T, http::Headers>) {
+      WireHeaders{field, names}.Pack(out);
+    } else if constexpr (std::is_same_v<T, links::Load>) {
+      Fields(*this, field);
+    } else if constexpr (std::is_same_v<T, std::vector<RouteCost>>) {
+      out.pack_array(static_cast<uint32_t>(field.size()));
+      for (RouteCost& cost : field) Fields(*this, cost);
+    } else {
+      out.pack(field);
+    }
+  }
+};
+
+struct Unpacker {
+  const msgpack::object& in;
+  const HeaderNames& names;
+
+  template <typename... T>
+  void operator()(T&... field) {
+    if (in.type != msgpack::type::ARRAY ||
+        in.via.array.size != sizeof...(field)) {
+      throw Error(Reason::kMalformed, "link frame has other fields");
+    }
+    size_t i = 0;
+    (One(in.via.array.ptr[i++], field), ...);
+  }
+  template <typename T>
+  void One(const msgpack::object& object, T& field) {
+    if constexpr (std::is_same_v<T, http::Headers>) {
+      WireHeaders{field, names}.Unpack(object);
+    } else if constexpr (std::is_same_v<T, links::Load>) {
+      Unpacker inner{object, names};
+      Fields(inner, field);
+    } else if constexpr (std::is_same_v<T, std::vector<RouteCost>>) {
+      for (const auto& item : object.as<std::vector<msgpack::object>>()) {
+        Unpacker inner{item, names};
+        Fields(inner, field.emplace_back());
+      }
+    } else {
+      object.convert(field);
+    }
+  }
+};
+
+template <typename T>
+Frame Unpack(std::string_view payload, const HeaderNames& names) {
+  T frame;
+  size_t used = 0;
+  // Limits keep a hostile length field from reserving memory.
+  msgpack::unpack_limit limit(4096, 0, payload.size(), payload.size(), 0, 8);
+  msgpack::object_handle handle = msgpack::unpack(
+      payload.data(), payload.size(), used, nullptr, nullptr, limit);
+  if (used != payload.size()) {
+    throw Error(Reason::kMalformed, "link frame has bytes left over");
+  }
+  Unpacker unpacker{handle.get(), names};
+  Fields(unpacker, frame);
+  return frame;
+}
+
+void CheckRanges(const Frame& frame) {
+  bool good = true;
+  if (const Call* call = std::get_if<Call>(&frame)) {
+    good = call->cls < base::kClassCount;
+  } else if (const Answer* answer = std::get_if<Answer>(&frame)) {
+    good = answer->outcome < base::kOutcomeNames.size() &&
+           answer->reason < base::kReasonCount;
+  } else if (const Ask* ask = std::get_if<Ask>(&frame)) {
+    good = ask->kind <= static_cast<uint8_t>(DocumentKind::kFleet);
+  } else if (const Document* document = std::get_if<Document>(&frame)) {
+    good = document->kind <= static_cast<uint8_t>(DocumentKind::kFleet);
+  }
+  if (!good) throw Error(Reason::kMalformed, "link frame field out of range");
+}
+
+Frame DecodePayload(FrameType type, std::string_view payload,
+                    const HeaderNames& names) {
+  switch (type) {
+    case FrameType::kHello:
+      return Unpack<Hello>(payload, names);
+    case FrameType::kState:
+      return Unpack<State>(payload, names);
+    case FrameType::kCall:
+      return Unpack<Call>(payload, names);
+    case FrameType::kCancel:
+      return Unpack<Cancel>(payload, names);
+    case FrameType::kAnswer:
+      return Unpack<Answer>(payload, names);
+    case FrameType::kAsk:
+      return Unpack<Ask>(payload, names);
+    case FrameType::kDocument:
+      return Unpack<Document>(payload, names);
+  }
+  throw Error(Reason::kMalformed, "link frame of unknown type");
+}
+
+}  // namespace
+
+std::string Encode(const Frame& frame, const HeaderNames& names) {
+  msgpack::sbuffer buffer(512);
+  msgpack::packer<msgpack::sbuffer> out(buffer);
+  std::visit(
+      [&out, &names](const auto& m) {
+        Packer packer{out, names};
+        // Fields takes a mutable reference for the sake of decoding; the
+        // packer only reads.
+        Fields(packer, const_cast<std::decay_t<decltype(m)>&>(m));
+      },
+      frame);
+  auto length = static_cast<uint32_t>(buffer.size() + 1);
+  std::string out_frame;
+  out_frame.reserve(buffer.size() + 5);
+  for (int shift : {24, 16, 8, 0}) {
+    out_frame.push_back(static_cast<char>(length >> shift));
+  }
+  out_frame.push_back(static_cast<char>(frame.index()));
+  out_frame.append(buffer.data(), buffer.size());
+  return out_frame;
+}
+
+Frame Decode(std::string_view payload, const HeaderNames& names) {
+  if (payload.empty()) throw Error(Reason::kMalformed, "link frame is empty");
+  auto type = static_cast<unsigned char>(payload[0]);
+  if (type >= kFrameTypeCount) {
+    throw Error(Reason::kMalformed, "link frame of unknown type");
+  }
+  try {
+    Frame frame =
+        DecodePayload(static_cast<FrameType>(type), payload.substr(1), names);
+    CheckRanges(frame);
+    return frame;
+  } catch (const msgpack::unpack_error& e) {
+    throw Error(Reason::kMalformed, e.what());
+  } catch (const msgpack::type_error& e) {
+    throw Error(Reason::kMalformed, e.what());
+  }
+}
+
+}  // namespace almondwind::peers
--- /dev/null
+++ b/almondwind/peers/frames.h
@@ -0,0 +1,131 @@
+// Frames on the link between two sidecar nodes, and their wire form.
+//
+// A link is one TCP connection that either side dialled. Both sides say Hello
+// first; then each may send any frame. Ids of calls are chosen by the sender
+// of the call and are unique on its link.
+//
+// Wire form: 4 bytes length (big endian, of what follows), 1 byte type, then
+// the fields as a MessagePack array. Well-known header names travel as one
+// number. Decode throws base::Error(kMalformed) and never reads beyond the
+// given bytes. Cost: one pass and one copy of the body.
+#ifndef ALMONDWIND_PEERS_FRAMES_H_
+#define ALMONDWIND_PEERS_FRAMES_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include "almondwind/http/message.h"
+#include "almondwind/links/message.h"
+
+namespace almondwind::peers {
+
+// Raised whenever a field changes meaning; a peer of another version is
+// refused at Hello.
+constexpr uint32_t kProtocolVersion = 1;
+
+enum class FrameType : uint8_t {
+  kHello,
+  kState,
+  kCall,
+  kCancel,
+  kAnswer,
+  kAsk,
+  kDocument
+};
+constexpr size_t kFrameTypeCount = 7;
+
+struct Hello {
+  uint32_t protocol = kProtocolVersion;
+  std::string address;  // "ip:port" at which the sender accepts links
+  std::string zone;
+  uint64_t incarnation = 0;
+};
+
+// What one run of a route costs at the sender's service.
+struct RouteCost {
+  std::string route;
+  double slot_ms = 0;  // time in a slot, without the calls that it makes
+  // Calls made by one run, by the called route.
+  std::vector<std::pair<std::string, double>> calls;
+};
+
+// What a node tells its peers of itself, a few times a second. It also shows
+// that the link is alive.
+struct State {
+  uint64_t config_version = 0;
+  uint64_t fleet_revision = 0;
+  bool leaving = false;
+  std::string service;  // of the upstream beside the sender
+  links::Load load;
+  // Callers' requests a second that came to the sender, by route.
+  std::vector<std::pair<std::string, double>> demand;
+  std::vector<RouteCost> costs;
+};
+
+// A request for the upstream beside the receiver.
+struct Call {
+  uint64_t id = 0;
+  std::string upstream;  // id of the upstream that is meant
+  std::string route;
+  uint8_t cls = 0;  // base::RequestClass
+  bool idempotent = false;
+  bool inner = false;        // made by an upstream, for a request of a caller
+  uint32_t time_left_ms = 0;  // of the request's deadline
+  std::string caller_service;
+  std::string method;
+  std::string target;
+  http::Headers headers;
+  std::string body;
+};
+
+struct Cancel {
+  uint64_t id = 0;
+};
+
+struct Answer {
+  uint64_t id = 0;
+  uint8_t outcome = 0;  // base::Outcome
+  uint8_t reason = 0;   // base::Reason
+  // Whether the request had reached the upstream, even if that refused it.
+  bool arrived = false;
+  uint32_t retry_after_ms = 0;
+  links::Load load;
+  uint32_t status = 0;
+  std::string phrase;
+  http::Headers headers;
+  std::string body;
+};
+
+enum class DocumentKind : uint8_t { kConfig, kFleet };
+
+// Asks for a document if the receiver has a newer one.
+struct Ask {
+  uint8_t kind = 0;  // DocumentKind
+  uint64_t have = 0;
+};
+
+struct Document {
+  uint8_t kind = 0;  // DocumentKind
+  uint64_t version = 0;
+  std::string text;
+};
+
+using Frame =
+    std::variant<Hello, State, Call, Cancel, Answer, Ask, Document>;
+
+// Header names that travel as numbers; both sides must have the same list.
+using HeaderNames = std::vector<std::string>;
+
+std::string Encode(const Frame& frame, const HeaderNames& names);
+
+// Returns the frame of `payload`, which is without the 4 length bytes. Throws
+// base::Error(kMalformed).
+Frame Decode(std::string_view payload, const HeaderNames& names);
+
+}  // namespace almondwind::peers
+
+#endif  // ALMONDWIND_PEERS_FRAMES_H_
--- /dev/null
+++ b/almondwind/sidecar/dispatcher.cc
@@ -0,0 +1,350 @@
+#include "almondwind/sidecar/dispatcher.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace almondwind::sidecar {
+
+using base::Millis;
+using base::Outcome;
+using base::Reason;
+
+// A request in progress. At most one leg of it is under way.
+struct Dispatcher::EntryCall {
+  EntryCall(uint64_t number, loop::Timers& timers)
+      : id(number), deadline_timer(timers) {}
+
+  uint64_t id;
+  http::Request request;
+  CallerTerms terms;
+  CallerEvents* events = nullptr;
+  routes::RouteTablePtr table;  // keeps `route` alive
+  const routes::Route* route = nullptr;
+  std::string service;
+  base::RequestClass cls = base::RequestClass::kNormal;
+  bool inner = false;
+  Millis arrived{0};
+  Millis deadline{0};
+  loop::Timer deadline_timer;
+  std::set<std::string> tried;  // upstreams, by id
+  int arrivals = 0;             // upstreams that the request has reached
+  int refusals = 0;             // by gates
+
+  // The leg under way; 0: none.
+  uint64_t leg = 0;
+  uint64_t leg_link = 0;  // serial of its link; 0: this node's own gate
+  zones::MachinePtr machine;
+};
+
+Dispatcher::Dispatcher(loop::Timers& timers, const Dialect& dialect,
+                       DispatcherOptions options, GateServer& gate,
+                       Admission& admission, EventLog& log, uint64_t seed)
+    : timers_(timers),
+      dialect_(dialect),
+      options_(std::move(options)),
+      gate_(gate),
+      admission_(admission),
+      log_(log),
+      splitter_(seed),
+      budget_(routes::RetryBudgetOptions()),
+      directory_([this] {
+        zones::DirectoryOptions o;
+        o.host = options_.link;
+        o.zone = options_.zone;
+        o.region = options_.region;
+        return o;
+      }()),
+      picker_(zones::MakePicker("least_wait")),
+      random_(seed) {}
+
+Dispatcher::~Dispatcher() = default;
+
+double Dispatcher::Jitter() {
+  return std::uniform_real_distribution<double>(0, 1)(random_);
+}
+
+// Callers that were refused together do not come back together.
+Millis Dispatcher::Spread(Millis delay) {
+  Millis bounded =
+      std::clamp(delay, options_.min_retry_after, options_.max_retry_after);
+  return Millis(static_cast<int64_t>(static_cast<double>(bounded.count()) *
+                                     (0.75 + Jitter() / 2)));
+}
+
+http::Response Dispatcher::Own(int status, Reason reason,
+                               Millis retry_after) const {
+  http::Response response;
+  response.status = status;
+  response.reason = http::ReasonPhrase(status);
+  response.headers.Add("X-Reason", base::ReasonName(reason));
+  if (retry_after > Millis(0)) {
+    dialect_.WriteRetryAfter(retry_after, response.headers);
+  }
+  return response;
+}
+
+uint64_t Dispatcher::Accept(http::Request request, bool inner,
+                            CallerEvents& events) {
+  uint64_t id = next_id_++;
+  auto owned = std::make_unique<EntryCall>(id, timers_);
+  EntryCall& call = *owned;
+  call.terms = dialect_.ReadCaller(request.headers);
+  call.request = std::move(request);
+  call.events = &events;
+  call.inner = inner;
+  call.arrived = timers_.Now();
+  body_bytes_ += call.request.body.size();
+  calls_[id] = std::move(owned);
+  Begin(call);
+  return id;
+}
+
+void Dispatcher::Begin(EntryCall& call) {
+  if (table_ == nullptr) return Refuse(call, Reason::kNotReady, Millis(500));
+  const std::string* host = call.request.headers.Find("Host");
+  call.table = table_;
+  call.route = table_->Match(*host, call.request.path());
+  if (call.route == nullptr) {
+    return Finish(call, Own(404, Reason::kUnknownService, Millis(0)),
+                  "no_route");
+  }
+  bool full = calls_.size() > options_.calls ||
+              body_bytes_ > options_.body_bytes;
+  if (full) return Refuse(call, Reason::kTooManyCalls, Millis(500));
+  call.cls = routes::ClassOf(call.route->priority);
+  Millis patience = call.terms.patience.value_or(options_.default_patience);
+  call.deadline = call.arrived + std::min(patience, call.route->timeout);
+  call.service = splitter_.Choose(*call.route).service;
+  budget_.OnRequest(call.service, call.arrived);
+  Millis wait = admission_.Enter(*call.route, call.service, call.inner,
+                                 call.arrived);
+  if (wait > Millis(0)) return Refuse(call, Reason::kEntryWindow, wait);
+  uint64_t id = call.id;
+  call.deadline_timer.Start(call.deadline - call.arrived, [this, id] {
+    auto it = calls_.find(id);
+    if (it != calls_.end()) OnDeadline(*it->second);
+  });
+  Try(call);
+}
+
+std::vector<zones::Machine*> Dispatcher::Candidates(const EntryCall& call,
+                                                    bool any) {
+  std::vector<zones::Machine*> out;
+  Millis now = timers_.Now();
+  for (const zones::MachinePtr& machine : directory_.Find(call.service)) {
+    const std::string& link = machine->entry().link;
+    if (machine->leaving() || call.tried.count(machine->name()) != 0) continue;
+    if (link != options_.link && mesh_->Find(link) == nullptr) continue;
+    if (any || machine->Usable(now, options_.eject)) out.push_back(machine.get());
+  }
+  return out;
+}
+
+zones::Machine* Dispatcher::Choose(EntryCall& call) {
+  std::vector<zones::Machine*> candidates = Candidates(call, /*any=*/false);
+  // When all have failed lately, one that failed is better than none.
+  if (candidates.empty()) candidates = Candidates(call, /*any=*/true);
+  if (candidates.empty()) return nullptr;
+  zones::PickContext context;
+  context.cls = call.cls;
+  context.now = timers_.Now();
+  context.zone = options_.zone;
+  context.region = options_.region;
+  context.zone_penalty = options_.zone_penalty;
+  context.region_penalty = options_.region_penalty;
+  return picker_->Pick(candidates, context, random_);
+}
+
+void Dispatcher::Try(EntryCall& call) {
+  zones::Machine* machine = Choose(call);
+  if (machine == nullptr) {
+    return Refuse(call, Reason::kNoHost, Millis(300));
+  }
+  SendLeg(call, *machine);
+}
+
+void Dispatcher::SendLeg(EntryCall& call, zones::Machine& machine) {
+  Millis now = timers_.Now();
+  call.tried.insert(machine.name());
+  call.machine = &machine;
+  call.leg = next_leg_++;
+  legs_[call.leg] = call.id;
+  machine.OnSent(now);
+  peers::Call out;
+  out.id = call.leg;
+  out.upstream = machine.name();
+  out.route = call.route->name;
+  out.cls = static_cast<uint8_t>(call.cls);
+  out.idempotent = call.route->idempotent;
+  out.inner = call.inner;
+  out.time_left_ms = static_cast<uint32_t>((call.deadline - now).count());
+  out.caller_service = options_.service;
+  out.method = call.request.method;
+  out.target = call.request.target;
+  out.headers = call.request.headers;
+  out.headers.RemoveConnectionFields();
+  dialect_.RemoveSystemFields(out.headers);
+  out.body = call.request.body;
+  if (machine.entry().link == options_.link) {
+    call.leg_link = 0;
+    gate_.Offer({0, out.id}, std::move(out), [this](peers::Answer answer) {
+      OnAnswer(answer.id, std::move(answer));
+    });
+    return;
+  }
+  peers::Link* link = mesh_->Find(machine.entry().link);
+  call.leg_link = link->serial();
+  link->Send(out);
+}
+
+void Dispatcher::CancelLeg(EntryCall& call) {
+  if (call.leg == 0) return;
+  legs_.erase(call.leg);
+  call.machine->OnAbandoned();
+  if (call.leg_link == 0) {
+    gate_.Cancel({0, call.leg});
+  } else if (peers::Link* link = mesh_->Find(call.machine->entry().link);
+             link != nullptr && link->serial() == call.leg_link) {
+    link->Send(peers::Cancel{call.leg});
+  }
+  call.leg = 0;
+}
+
+void Dispatcher::OnAnswer(uint64_t leg, peers::Answer answer) {
+  auto it = legs_.find(leg);
+  if (it == legs_.end()) return;  // given up in the meantime
+  EntryCall& call = *calls_.at(it->second);
+  legs_.erase(it);
+  call.leg = 0;
+  auto outcome = static_cast<Outcome>(answer.outcome);
+  auto reason = static_cast<Reason>(answer.reason);
+  // A gate that refuses for load works; one whose upstream is out of order
+  // does not, however idle it looks.
+  bool working = reason != Reason::kUpstreamUnreachable &&
+                 reason != Reason::kUpstreamClosed &&
+                 reason != Reason::kUpstreamShed && reason != Reason::kNoHost &&
+                 (answer.status < 500 || outcome != Outcome::kAnswered);
+  call.machine->OnAnswer(answer.load, working, timers_.Now(), options_.eject,
+                         Jitter());
+  if (answer.arrived) ++call.arrivals;
+  if (outcome == Outcome::kNotRun) return OnNotRun(call, answer);
+  if (outcome == Outcome::kUnknown) return OnUnknown(call, reason);
+  if (answer.status >= 500 && call.route->idempotent && MayRepeat(call)) {
+    return Try(call);
+  }
+  http::Response response;
+  response.status = static_cast<int>(answer.status);
+  response.reason = std::move(answer.phrase);
+  response.headers = std::move(answer.headers);
+  response.body = std::move(answer.body);
+  Finish(call, std::move(response), "answered");
+}
+
+// Whether the request may be sent to one more upstream; takes it from the
+// retry budget if so.
+bool Dispatcher::MayRepeat(EntryCall& call) {
+  if (call.arrivals >= call.route->max_attempts) return false;
+  if (Candidates(call, /*any=*/false).empty()) return false;
+  return budget_.Take(admission_.RepeatCosts(call.route->name, call.service),
+                      timers_.Now());
+}
+
+void Dispatcher::OnNotRun(EntryCall& call, const peers::Answer& answer) {
+  auto reason = static_cast<Reason>(answer.reason);
+  ++call.refusals;
+  bool again = call.refusals < options_.gates && reason != Reason::kDeadline;
+  if (answer.arrived) {
+    // The upstream refused it: not run, but another arrival for the budget.
+    again = again && MayRepeat(call);
+  } else {
+    again = again && !Candidates(call, /*any=*/false).empty();
+  }
+  if (again) return Try(call);
+  Refuse(call, reason, std::max(Millis(answer.retry_after_ms), Millis(200)));
+}
+
+void Dispatcher::OnUnknown(EntryCall& call, Reason reason) {
+  if (call.route->idempotent && MayRepeat(call)) return Try(call);
+  Finish(call, Own(502, reason, Millis(0)),
+         std::string(base::ReasonName(reason)));
+}
+
+void Dispatcher::OnDeadline(EntryCall& call) {
+  CancelLeg(call);
+  Finish(call, Own(504, Reason::kTimeout, Millis(0)), "timeout");
+}
+
+void Dispatcher::Refuse(EntryCall& call, Reason reason, Millis retry_after) {
+  Finish(call, Own(503, reason, Spread(retry_after)),
+         std::string(base::ReasonName(reason)));
+}
+
+void Dispatcher::Finish(EntryCall& call, http::Response response,
+                        const std::string& why) {
+  Log(call, response.status, why);
+  auto it = calls_.find(call.id);
+  EntryCallPtr owned = std::move(it->second);
+  calls_.erase(it);
+  body_bytes_ -= owned->request.body.size();
+  owned->deadline_timer.Stop();
+  if (owned->events != nullptr) {
+    owned->events->OnAnswer(owned->id, std::move(response));
+  }
+}
+
+void Dispatcher::Abandon(uint64_t id) {
+  auto it = calls_.find(id);
+  if (it == calls_.end()) return;
+  EntryCall& call = *it->second;
+  CancelLeg(call);
+  call.events = nullptr;
+  Finish(call, {}, "caller_left");
+}
+
+void Dispatcher::OnLinkDown(uint64_t serial) {
+  std::vector<uint64_t> lost;
+  for (const auto& [id, call] : calls_) {
+    if (call->leg != 0 && call->leg_link == serial) lost.push_back(id);
+  }
+  for (uint64_t id : lost) {
+    auto it = calls_.find(id);
+    if (it == calls_.end()) continue;
+    EntryCall& call = *it->second;
+    legs_.erase(call.leg);
+    call.leg = 0;
+    call.machine->OnFailure(timers_.Now(), options_.eject, Jitter());
+    // It may have arrived; the budget counts it as if it had.
+    ++call.arrivals;
+    OnUnknown(call, Reason::kLinkLost);
+  }
+}
+
+void Dispatcher::OnLoad(const std::string& link, const links::Load& load) {
+  for (const auto& [name, machine] : directory_.machines()) {
+    if (machine->entry().link == link) machine->OnReport(load, timers_.Now());
+  }
+}
+
+void Dispatcher::Log(const EntryCall& call, int status,
+                     const std::string& why) {
+  const char* event = why == "answered" ? "answered" : "ended";
+  if (!log_.Wants(event)) return;
+  nlohmann::json fields = {{"id", call.terms.request_id},
+                           {"status", status},
+                           {"why", why},
+                           {"inner", call.inner},
+                           {"arrivals", call.arrivals},
+                           {"refusals", call.refusals},
+                           {"took_ms", (timers_.Now() - call.arrived).count()}};
+  if (call.route != nullptr) {
+    fields["route"] = call.route->name;
+    fields["config"] = call.table->version();
+    fields["service"] = call.service;
+    fields["patience_ms"] = (call.deadline - call.arrived).count();
+  }
+  if (call.machine != nullptr) fields["upstream"] = call.machine->name();
+  log_.Write(event, fields);
+}
+
+}  // namespace almondwind::sidecar
--- /dev/null
+++ b/almondwind/sidecar/dispatcher.h
@@ -0,0 +1,155 @@
+// The way of a request from this host through the fleet: route, part, upstream,
+// tries, final answer.
+//
+//   dispatcher.Accept(id, request, inner, events);   // -> events.OnAnswer
+//   dispatcher.Abandon(id);                          // the caller has left
+//
+// A request is sent to one gate after another. A gate's refusal proves that
+// it has not run, so another gate may be asked at once. When the outcome is
+// unknown, only an idempotent request is sent again, within its route's
+// attempts and the shared retry budget; any other is answered 502. When the
+// route's timeout or the caller's patience is over, the answer is given at
+// once, whatever runs is cancelled.
+//
+// Bounds: Options::calls requests and Options::body_bytes of their bodies;
+// beyond them a request is refused. Cost: a few look-ups and one scan of a
+// service's upstreams a try. Not thread-safe.
+#ifndef ALMONDWIND_SIDECAR_DISPATCHER_H_
+#define ALMONDWIND_SIDECAR_DISPATCHER_H_
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "almondwind/peers/mesh.h"
+#include "almondwind/routes/retry_budget.h"
+#include "almondwind/routes/split.h"
+#include "almondwind/routes/table.h"
+#include "almondwind/sidecar/environment.h"
+#include "almondwind/sidecar/event_log.h"
+#include "almondwind/sidecar/gate_server.h"
+#include "almondwind/zones/directory.h"
+#include "almondwind/zones/picker.h"
+
+namespace almondwind::sidecar {
+
+class CallerEvents {
+ public:
+  virtual ~CallerEvents() = default;
+  virtual void OnAnswer(uint64_t call, http::Response response) = 0;
+};
+
+struct DispatcherOptions {
+  std::string service;  // of the upstream beside the node
+  std::string link;     // address of this node's links
+  std::string zone;
+  std::string region;
+  size_t calls = 4096;
+  size_t body_bytes = 48u << 20;
+  // Gates that may refuse one request before it is refused as a whole.
+  int gates = 3;
+  // Patience of a caller that names none.
+  base::Millis default_patience{30'000};
+  // Added for a link to another zone or region when upstreams are compared.
+  base::Millis zone_penalty{4};
+  base::Millis region_penalty{60};
+  zones::EjectOptions eject;
+  // Shortest and longest time after which a refused caller may come back.
+  base::Millis min_retry_after{100};
+  base::Millis max_retry_after{2000};
+};
+
+// Told of requests as they enter; decides whether they may.
+class Admission {
+ public:
+  virtual ~Admission() = default;
+  // Zero: enter. Otherwise the time after which to come back.
+  virtual base::Millis Enter(const routes::Route& route,
+                             const std::string& service, bool inner,
+                             base::Millis now) = 0;
+  // What a repeat of `route` at `service` costs each service, in requests.
+  virtual routes::RetryBudget::Costs RepeatCosts(const std::string& route,
+                                                 const std::string& service) = 0;
+};
+
+class Dispatcher {
+ public:
+  Dispatcher(loop::Timers& timers, const Dialect& dialect,
+             DispatcherOptions options, GateServer& gate, Admission& admission,
+             EventLog& log, uint64_t seed);
+  ~Dispatcher();
+
+  void Attach(peers::Mesh& mesh) { mesh_ = &mesh; }
+  // The service of the upstream beside the node.
+  void SetService(const std::string& service) { options_.service = service; }
+  void SetTable(routes::RouteTablePtr table) { table_ = std::move(table); }
+  const routes::RouteTablePtr& table() const { return table_; }
+  zones::Directory& directory() { return directory_; }
+  routes::RetryBudget& retry_budget() { return budget_; }
+
+  // Takes a request of a caller, or (`inner`) of the upstream beside the node.
+  // Returns the id under which it is answered; the answer may come before
+  // this returns.
+  uint64_t Accept(http::Request request, bool inner, CallerEvents& events);
+  // The next id that Accept will use.
+  uint64_t next_id() const { return next_id_; }
+  void Abandon(uint64_t id);
+
+  void OnAnswer(uint64_t leg, peers::Answer answer);
+  void OnLinkDown(uint64_t serial);
+  // A peer's gate reports its load.
+  void OnLoad(const std::string& link, const links::Load& load);
+
+  size_t in_progress() const { return calls_.size(); }
+  // An answer of this node's own.
+  http::Response Own(int status, base::Reason reason,
+                     base::Millis retry_after) const;
+
+ private:
+  struct EntryCall;
+  using EntryCallPtr = std::unique_ptr<EntryCall>;
+
+  void Begin(EntryCall& call);
+  void Try(EntryCall& call);
+  zones::Machine* Choose(EntryCall& call);
+  std::vector<zones::Machine*> Candidates(const EntryCall& call, bool any);
+  void SendLeg(EntryCall& call, zones::Machine& machine);
+  void CancelLeg(EntryCall& call);
+  void OnNotRun(EntryCall& call, const peers::Answer& answer);
+  void OnUnknown(EntryCall& call, base::Reason reason);
+  void OnDeadline(EntryCall& call);
+  bool MayRepeat(EntryCall& call);
+  void Refuse(EntryCall& call, base::Reason reason, base::Millis retry_after);
+  void Finish(EntryCall& call, http::Response response,
+              const std::string& why);
+  void Log(const EntryCall& call, int status, const std::string& why);
+  double Jitter();
+  base::Millis Spread(base::Millis delay);
+
+  loop::Timers& timers_;
+  const Dialect& dialect_;
+  DispatcherOptions options_;
+  GateServer& gate_;
+  Admission& admission_;
+  EventLog& log_;
+  peers::Mesh* mesh_ = nullptr;
+  routes::RouteTablePtr table_;
+  routes::Splitter splitter_;
+  routes::RetryBudget budget_;
+  zones::Directory directory_;
+  std::unique_ptr<zones::Picker> picker_;
+  zones::Random random_;
+  std::unordered_map<uint64_t, EntryCallPtr> calls_;
+  std::unordered_map<uint64_t, uint64_t> legs_;  // leg to call
+  size_t body_bytes_ = 0;
+  uint64_t next_id_ = 1;
+  uint64_t next_leg_ = 1;
+};
+
+}  // namespace almondwind::sidecar
+
+#endif  // ALMONDWIND_SIDECAR_DISPATCHER_H_
--- /dev/null
+++ b/almondwind/sidecar/gate_server.cc
@@ -0,0 +1,241 @@
+#include "almondwind/sidecar/gate_server.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <vector>
+
+namespace almondwind::sidecar {
+
+using base::EndKind;
+using base::Millis;
+using base::Outcome;
+using base::Reason;
+
+namespace {
+
+// While something waits, the queue is looked at this often.
+constexpr Millis kTick{10};
+// Slots assumed until the upstream's entry has been read.
+constexpr int kUnknownSlots = 16;
+constexpr int kManyConnections = 1024;
+
+peers::Answer NotRun(Reason reason) {
+  peers::Answer answer;
+  answer.outcome = static_cast<uint8_t>(Outcome::kNotRun);
+  answer.reason = static_cast<uint8_t>(reason);
+  return answer;
+}
+
+peers::Answer Unknown(Reason reason) {
+  peers::Answer answer = NotRun(reason);
+  answer.outcome = static_cast<uint8_t>(Outcome::kUnknown);
+  answer.arrived = true;
+  return answer;
+}
+
+// What became of a request, by how its exchange ended.
+peers::Answer Judge(EndKind kind, http::Response response,
+                    const AnswerMarks& marks) {
+  if (kind == EndKind::kUnreachable) {
+    return NotRun(Reason::kUpstreamUnreachable);
+  }
+  if (kind == EndKind::kTooLarge) return Unknown(Reason::kAnswerTooLarge);
+  if (kind == EndKind::kClosed) return Unknown(Reason::kUpstreamClosed);
+  if (marks.other_upstream || marks.not_run) {
+    peers::Answer answer =
+        NotRun(marks.other_upstream ? Reason::kNoHost : Reason::kUpstreamShed);
+    answer.arrived = true;
+    return answer;
+  }
+  bool success = response.status / 100 == 2;
+  if (marks.encoded || (success && !marks.sealed)) {
+    return Unknown(Reason::kUpstreamClosed);
+  }
+  peers::Answer answer;
+  answer.outcome = static_cast<uint8_t>(Outcome::kAnswered);
+  answer.arrived = true;
+  answer.status = static_cast<uint32_t>(response.status);
+  answer.phrase = std::move(response.reason);
+  answer.headers = std::move(response.headers);
+  answer.headers.RemoveConnectionFields();
+  answer.body = std::move(response.body);
+  return answer;
+}
+
+}  // namespace
+
+GateServer::GateServer(loop::Timers& timers, const Dialect& dialect,
+                       const GateServerOptions& options, EventLog& log,
+                       RunObserver& observer)
+    : timers_(timers),
+      dialect_(dialect),
+      options_(options),
+      log_(log),
+      observer_(observer),
+      gate_(std::make_unique<machines::Gate>(kUnknownSlots, kManyConnections,
+                                             options.gate, *this)),
+      slots_(kUnknownSlots),
+      tick_(timers) {}
+
+GateServer::~GateServer() = default;
+
+void GateServer::SetUpstream(const fleet::Upstream* upstream) {
+  if (upstream == nullptr) {
+    // Known before and gone from the list: it has left.
+    if (started_at_ != 0) gate_->Leave();
+    return;
+  }
+  bool fresh = upstream->started_at != started_at_;
+  if (upstream->slots > 0 && upstream->slots != slots_ && runs_.empty()) {
+    slots_ = upstream->slots;
+    gate_ = std::make_unique<machines::Gate>(slots_, kManyConnections,
+                                             options_.gate, *this);
+  }
+  if (upstream->draining) {
+    gate_->Leave();
+  } else if (!stopping_ && (fresh || gate_->leaving())) {
+    gate_->Join(timers_.Now(), upstream->cold_left > Millis(0));
+  }
+  started_at_ = upstream->started_at;
+}
+
+void GateServer::Leave() {
+  stopping_ = true;
+  gate_->Leave();
+}
+
+void GateServer::Offer(const CallKey& key, peers::Call call, Reply reply) {
+  Millis now = timers_.Now();
+  machines::RequestPtr request(new machines::Request);
+  request->id = call.route;
+  request->cls = static_cast<base::RequestClass>(call.cls);
+  request->idempotent = call.idempotent;
+  request->deadline = now + Millis(call.time_left_ms);
+  machines::RunPtr run(new machines::Run);
+  run->id = next_run_++;
+  run->request = request;
+  runs_[run->id] = {run, key, std::move(call), std::move(reply), false};
+  by_key_[key] = run->id;
+  gate_->Offer(run, now);
+  if (gate_->queued() > 0 && !tick_.pending()) {
+    tick_.Start(kTick, [this] { Tick(); });
+  }
+}
+
+void GateServer::Tick() {
+  gate_->Tick(timers_.Now());
+  if (gate_->queued() > 0) tick_.Start(kTick, [this] { Tick(); });
+}
+
+void GateServer::Start(machines::Run& run) {
+  uint64_t id = run.id;
+  GateRun& held = runs_.at(id);
+  Millis left = run.request->deadline - timers_.Now();
+  if (left < options_.min_time_left) {
+    gate_->End(run, {}, timers_.Now());
+    return Answer(id, NotRun(Reason::kDeadline));
+  }
+  observer_.OnRunStarted(held.call.route);
+  http::Request request = UpstreamRequest(held, left);
+  std::string request_id = dialect_.ReadCaller(request.headers).request_id;
+  pool_->Send(id, request, request_id, held.call.idempotent);
+}
+
+http::Request GateServer::UpstreamRequest(const GateRun& run,
+                                          Millis left) const {
+  http::Request request;
+  request.method = run.call.method;
+  request.target = run.call.target;
+  request.headers = run.call.headers;
+  request.body = run.call.body;
+  UpstreamTerms terms;
+  terms.upstream = run.call.upstream;
+  terms.caller_service = run.call.caller_service;
+  terms.time_left = left;
+  dialect_.WriteUpstream(terms, request.headers);
+  return request;
+}
+
+void GateServer::Refused(machines::Run& run, Reason reason) {
+  peers::Answer answer = NotRun(reason);
+  links::Load load = gate_->Report(timers_.Now());
+  answer.retry_after_ms =
+      load.retry_after_ms.at(base::Index(run.request->cls));
+  Answer(run.id, std::move(answer));
+}
+
+void GateServer::OnUpstreamEnd(uint64_t exchange, EndKind kind,
+                               http::Response response,
+                               const AnswerMarks& marks) {
+  auto it = runs_.find(exchange);
+  if (it == runs_.end()) return;
+  machines::RunPtr run = it->second.run;
+  Millis now = timers_.Now();
+  observer_.OnRunEnded(it->second.call.route, now - run->started);
+  peers::Answer answer = Judge(kind, std::move(response), marks);
+  machines::RunEnd end;
+  end.shed = marks.not_run;
+  gate_->End(*run, end, now);
+  Answer(exchange, std::move(answer));
+}
+
+void GateServer::Answer(uint64_t id, peers::Answer answer) {
+  auto it = runs_.find(id);
+  if (it == runs_.end()) return;
+  GateRun run = std::move(it->second);
+  runs_.erase(it);
+  by_key_.erase(run.key);
+  answer.id = run.key.second;
+  answer.load = Load();
+  LogEnd(run, answer);
+  if (!run.abandoned) run.reply(std::move(answer));
+}
+
+void GateServer::LogEnd(const GateRun& run, const peers::Answer& answer) const {
+  auto outcome = static_cast<Outcome>(answer.outcome);
+  if (outcome == Outcome::kAnswered || !log_.Wants("gate")) return;
+  log_.Write(
+      "gate",
+      {{"id", dialect_.ReadCaller(run.call.headers).request_id},
+       {"route", run.call.route},
+       {"upstream", run.call.upstream},
+       {"outcome", base::NameOf(base::kOutcomeNames, outcome)},
+       {"reason", base::ReasonName(static_cast<Reason>(answer.reason))},
+       {"in_progress", answer.load.in_progress},
+       {"limit", answer.load.limit},
+       {"queued", gate_->queued()},
+       {"time_left_ms", run.call.time_left_ms}});
+}
+
+void GateServer::Cancel(const CallKey& key) {
+  auto it = by_key_.find(key);
+  if (it == by_key_.end()) return;
+  uint64_t id = it->second;
+  GateRun& held = runs_.at(id);
+  Millis now = timers_.Now();
+  machines::RunPtr run = held.run;
+  held.abandoned = true;
+  if (gate_->Withdraw(*run, Reason::kCancelled, now)) return;
+  // What must not run twice is left to finish: breaking it off would not make
+  // it undone.
+  if (!held.call.idempotent) return;
+  observer_.OnRunEnded(held.call.route, now - run->started);
+  run->cancelled = true;
+  pool_->Cancel(id);
+  by_key_.erase(key);
+  runs_.erase(id);
+  gate_->End(*run, {}, now);
+}
+
+void GateServer::CancelLink(uint64_t serial) {
+  std::vector<CallKey> keys;
+  for (auto it = by_key_.lower_bound({serial, 0});
+       it != by_key_.end() && it->first.first == serial; ++it) {
+    keys.push_back(it->first);
+  }
+  for (const CallKey& key : keys) Cancel(key);
+}
+
+links::Load GateServer::Load() const { return gate_->Report(timers_.Now()); }
+
+}  // namespace almondwind::sidecar
--- /dev/null
+++ b/almondwind/sidecar/gate_server.h
@@ -0,0 +1,113 @@
+// The gate of the upstream beside this node, with its requests.
+//
+// Every request for the upstream comes through here, from this node's own
+// dispatcher or over a link, so limit, queue, drain and "not run" are decided
+// next to the work. machines::Gate decides what runs, waits or is refused.
+//
+//   gate.Offer({link_serial, call.id}, call, reply);  // reply is called once
+//   gate.Cancel({link_serial, call.id});
+//
+// An answer is passed on only if it is whole and the upstream vouches for it;
+// anything else the upstream did after a request was sent is "unknown".
+//
+// Bounds: those of the gate's queues. Not thread-safe.
+#ifndef ALMONDWIND_SIDECAR_GATE_SERVER_H_
+#define ALMONDWIND_SIDECAR_GATE_SERVER_H_
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <utility>
+
+#include "almondwind/machines/gate.h"
+#include "almondwind/peers/frames.h"
+#include "almondwind/sidecar/environment.h"
+#include "almondwind/sidecar/event_log.h"
+#include "almondwind/sidecar/upstream_pool.h"
+
+namespace almondwind::sidecar {
+
+// Link serial (0: this node's own dispatcher) and id of a call on it.
+using CallKey = std::pair<uint64_t, uint64_t>;
+using Reply = std::function<void(peers::Answer)>;
+
+// Told of what the upstream's runs cost.
+class RunObserver {
+ public:
+  virtual ~RunObserver() = default;
+  virtual void OnRunStarted(const std::string& route) = 0;
+  // `took`: time in the upstream's slot.
+  virtual void OnRunEnded(const std::string& route, base::Millis took) = 0;
+};
+
+struct GateServerOptions {
+  machines::GateOptions gate;
+  // A request with less time left is refused rather than run.
+  base::Millis min_time_left{5};
+};
+
+class GateServer : public machines::GateEvents, public UpstreamPoolEvents {
+ public:
+  GateServer(loop::Timers& timers, const Dialect& dialect,
+             const GateServerOptions& options, EventLog& log,
+             RunObserver& observer);
+  ~GateServer() override;
+
+  void Attach(UpstreamPool& pool) { pool_ = &pool; }
+
+  // The upstream as it is published now; null: it is not listed.
+  void SetUpstream(const fleet::Upstream* upstream);
+  void Offer(const CallKey& key, peers::Call call, Reply reply);
+  // Nobody waits for the answer any more. What waits is refused; what runs and
+  // may be repeated is broken off.
+  void Cancel(const CallKey& key);
+  // The link is gone, and with it all who waited for answers on it.
+  void CancelLink(uint64_t serial);
+  // Takes no new requests from now on.
+  void Leave();
+
+  links::Load Load() const;
+  bool idle() const { return runs_.empty(); }
+  size_t in_progress() const { return runs_.size(); }
+
+  void Start(machines::Run& run) override;
+  void Refused(machines::Run& run, base::Reason reason) override;
+  void OnUpstreamEnd(uint64_t exchange, base::EndKind kind,
+                     http::Response response,
+                     const AnswerMarks& marks) override;
+
+ private:
+  struct GateRun {
+    machines::RunPtr run;
+    CallKey key;
+    peers::Call call;
+    Reply reply;
+    bool abandoned = false;
+  };
+
+  void Answer(uint64_t id, peers::Answer answer);
+  void Tick();
+  http::Request UpstreamRequest(const GateRun& run, base::Millis left) const;
+  void LogEnd(const GateRun& run, const peers::Answer& answer) const;
+
+  loop::Timers& timers_;
+  const Dialect& dialect_;
+  const GateServerOptions options_;
+  EventLog& log_;
+  RunObserver& observer_;
+  UpstreamPool* pool_ = nullptr;
+  std::unique_ptr<machines::Gate> gate_;
+  int slots_ = 0;
+  int64_t started_at_ = 0;  // of the upstream's incarnation
+  bool stopping_ = false;
+  std::unordered_map<uint64_t, GateRun> runs_;
+  std::map<CallKey, uint64_t> by_key_;
+  uint64_t next_run_ = 1;
+  loop::Timer tick_;
+};
+
+}  // namespace almondwind::sidecar
+
+#endif  // ALMONDWIND_SIDECAR_GATE_SERVER_H_
--- /dev/null
+++ b/almondwind/sidecar/node.cc
@@ -0,0 +1,382 @@
+#include "almondwind/sidecar/node.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
+
+#include "almondwind/fleet/list_format.h"
+
+namespace almondwind::sidecar {
+
+using base::Millis;
+using base::Reason;
+
+namespace {
+
+// After a start, time for links to come up before readiness stops waiting.
+constexpr Millis kLinkPatience{1000};
+// A node that is behind a peer for this long asks it; a change takes about as
+// long to reach all nodes from the store.
+constexpr Millis kBehindPatience{400};
+// At most one question in this time.
+constexpr Millis kAskInterval{300};
+constexpr Millis kSettingsPoll{1000};
+constexpr Millis kStopPoll{50};
+// On a stop: until callers, who are told within two readiness checks of a
+// second each, go elsewhere.
+constexpr Millis kStopLinger{2300};
+// Kept from the end of the grace for the process's own end.
+constexpr Millis kStopMargin{500};
+
+peers::MeshOptions MeshOptionsFrom(const Settings& s, uint64_t incarnation,
+                                   const Dialect& dialect) {
+  peers::MeshOptions o;
+  o.address = s.links;
+  o.zone = s.zone;
+  o.incarnation = incarnation;
+  o.header_names = dialect.CommonNames();
+  return o;
+}
+
+DispatcherOptions DispatcherOptionsFrom(const Settings& s) {
+  DispatcherOptions o;
+  o.service = s.service;
+  o.link = s.links;
+  o.zone = s.zone;
+  o.region = s.region;
+  return o;
+}
+
+CallerServerOptions CallerOptionsFrom(const Settings& s) {
+  CallerServerOptions o;
+  o.listen = s.callers;
+  // Half of the descriptors; the rest is for links, the upstream and files.
+  o.connections = static_cast<size_t>(std::max(16, s.max_descriptors / 2));
+  return o;
+}
+
+UpstreamPoolOptions PoolOptionsFrom(const Settings& s) {
+  UpstreamPoolOptions o;
+  o.connections = static_cast<size_t>(std::max(16, s.max_descriptors / 4));
+  return o;
+}
+
+}  // namespace
+
+Node::Node(boost::asio::io_context& io, loop::Timers& timers,
+           const base::Clock&, const Settings& settings,
+           Environment environment, uint64_t incarnation, EventLog& log)
+    : timers_(timers),
+      settings_(settings),
+      environment_(environment),
+      log_(log),
+      started_(timers.Now()),
+      view_(fleet::ViewOptions()),
+      gate_(timers, environment.dialect, GateServerOptions(), log, *this),
+      pool_(io, timers, environment.dialect, PoolOptionsFrom(settings), gate_),
+      dispatcher_(timers, environment.dialect, DispatcherOptionsFrom(settings),
+                  gate_, *this, log, incarnation),
+      mesh_(io, timers, MeshOptionsFrom(settings, incarnation,
+                                        environment.dialect), *this),
+      callers_(io, timers, CallerOptionsFrom(settings), dispatcher_),
+      pages_(io, timers, settings.ready,
+             [this](const http::Request& r) { return Page(r); }),
+      sweep_(timers),
+      settings_poll_(timers),
+      stop_poll_(timers) {
+  gate_.Attach(pool_);
+  pool_.SetAddress(settings.upstream);
+  dispatcher_.Attach(mesh_);
+  dispatcher_.retry_budget().Configure(settings.retry_budget);
+}
+
+Node::~Node() = default;
+
+void Node::Start() {
+  mesh_.Listen();
+  environment_.feed.Start(*this);
+  settings_poll_.Start(kSettingsPoll, [this] { PollSettings(); });
+  log_.Write("started", {{"service", settings_.service},
+                         {"upstream", settings_.upstream},
+                         {"zone", settings_.zone}});
+}
+
+bool Node::ready() const {
+  if (stopping_ || table_ == nullptr || view_.revision() == 0) return false;
+  if (timers_.Now() - started_ > kLinkPatience) return true;
+  std::set<std::string> peers;
+  for (const auto& [name, machine] :
+       const_cast<Node*>(this)->dispatcher_.directory().machines()) {
+    peers.insert(machine->entry().link);
+  }
+  size_t up = mesh_.links().size() + 1;
+  return up * 2 >= peers.size();
+}
+
+// ---- What the platform publishes.
+
+void Node::OnConfig(const std::string& document) {
+  TakeConfig(document, "store");
+}
+
+void Node::TakeConfig(const std::string& document, const std::string& source) {
+  routes::RouteTablePtr table;
+  try {
+    table = environment_.config_format.Parse(document);
+  } catch (const base::Error& e) {
+    log_.Write("config_refused", {{"source", source}, {"why", e.what()}});
+    return;
+  }
+  uint64_t have = table_ == nullptr ? 0 : table_->version();
+  if (table->version() <= have) return;
+  table_ = table;
+  config_document_ = document;
+  dispatcher_.SetTable(table);
+  log_.Write("config", {{"version", table->version()},
+                        {"before", have},
+                        {"source", source},
+                        {"routes", table->routes().size()}});
+}
+
+void Node::OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
+                       uint64_t revision) {
+  if (view_.Replace(upstreams, revision, timers_.Now())) OnViewChanged();
+}
+
+void Node::OnUpstream(const fleet::Upstream& upstream) {
+  if (view_.Put(upstream)) OnViewChanged();
+}
+
+void Node::OnUpstreamGone(const std::string& id, uint64_t revision) {
+  if (view_.Remove(id, revision, timers_.Now())) OnViewChanged();
+}
+
+void Node::OnRevision(uint64_t revision) { view_.Advance(revision); }
+
+void Node::OnAvailable(bool available, const std::string& why) {
+  if (available) view_.OnStoreReturned(timers_.Now());
+  log_.Write(available ? "store_back" : "store_lost",
+             {{"why", why}, {"revision", view_.revision()}});
+}
+
+void Node::OnUnreadable(const std::string& key, const std::string& why) {
+  log_.Write("unreadable", {{"key", key}, {"why", why}});
+}
+
+void Node::OnViewChanged() {
+  UpdateDirectory();
+  gate_.SetUpstream(view_.AtAddress(settings_.upstream));
+  Millis sweep = view_.UntilSweep(timers_.Now());
+  if (sweep >= Millis(0)) {
+    sweep_.Start(sweep + Millis(1), [this] { SweepView(); });
+  }
+  log_.Write("fleet", {{"revision", view_.revision()},
+                       {"upstreams", view_.upstreams().size()}});
+}
+
+void Node::SweepView() {
+  if (view_.Sweep(timers_.Now())) OnViewChanged();
+}
+
+void Node::UpdateDirectory() {
+  std::map<std::string, std::vector<zones::HostEntry>> by_service;
+  std::set<std::string> links;
+  for (const auto& [name, machine] : dispatcher_.directory().machines()) {
+    by_service[machine->entry().service];  // emptied if nothing is left
+  }
+  for (const auto& [id, upstream] : view_.upstreams()) {
+    zones::HostEntry entry;
+    entry.name = id;
+    entry.service = upstream.service;
+    entry.zone = upstream.zone;
+    entry.region = settings_.region;
+    entry.leaving = upstream.draining;
+    std::string ip = upstream.address.substr(0, upstream.address.rfind(':'));
+    entry.link = ip + ":" + std::to_string(settings_.peer_port);
+    links.insert(entry.link);
+    by_service[upstream.service].push_back(std::move(entry));
+  }
+  for (auto& [service, hosts] : by_service) {
+    dispatcher_.directory().Update(service, std::move(hosts));
+  }
+  mesh_.SetTargets({links.begin(), links.end()});
+  dispatcher_.retry_budget().SetNodes(links.size());
+}
+
+// ---- Peers.
+
+void Node::OnLinkUp(peers::Link& link) {
+  log_.Write("peer_up", {{"peer", link.peer()}, {"zone", link.zone()}});
+}
+
+void Node::OnLinkDown(peers::Link& link) {
+  log_.Write("peer_lost", {{"peer", link.peer()}});
+  gate_.CancelLink(link.serial());
+  dispatcher_.OnLinkDown(link.serial());
+}
+
+void Node::OnFrame(peers::Link& link, peers::Frame frame) {
+  if (auto* call = std::get_if<peers::Call>(&frame)) {
+    peers::LinkPtr keep(&link);
+    CallKey key{link.serial(), call->id};
+    gate_.Offer(key, std::move(*call), [keep](peers::Answer answer) {
+      keep->Send(answer);
+    });
+  } else if (auto* answer = std::get_if<peers::Answer>(&frame)) {
+    dispatcher_.OnAnswer(answer->id, std::move(*answer));
+  } else if (auto* cancel = std::get_if<peers::Cancel>(&frame)) {
+    gate_.Cancel({link.serial(), cancel->id});
+  } else if (auto* state = std::get_if<peers::State>(&frame)) {
+    OnState(link, *state);
+  } else if (auto* ask = std::get_if<peers::Ask>(&frame)) {
+    OnAsk(link, *ask);
+  } else if (auto* document = std::get_if<peers::Document>(&frame)) {
+    OnDocument(*document);
+  }
+}
+
+peers::State Node::Report(const std::string&) {
+  peers::State state;
+  state.config_version = table_ == nullptr ? 0 : table_->version();
+  state.fleet_revision = view_.revision();
+  state.leaving = stopping_;
+  state.service = settings_.service;
+  state.load = gate_.Load();
+  return state;
+}
+
+void Node::OnState(peers::Link& link, const peers::State& state) {
+  dispatcher_.OnLoad(link.peer(), state.load);
+  AskIfBehind(link, state);
+}
+
+void Node::AskIfBehind(peers::Link& link, const peers::State& state) {
+  Millis now = timers_.Now();
+  uint64_t config = table_ == nullptr ? 0 : table_->version();
+  bool old_config = state.config_version > config;
+  bool old_fleet = state.fleet_revision > view_.revision();
+  if (!old_config && !old_fleet) {
+    behind_since_ = Millis(0);
+    return;
+  }
+  if (behind_since_ == Millis(0)) behind_since_ = now;
+  bool fresh = config == 0 || view_.revision() == 0;
+  if (!fresh && now - behind_since_ < kBehindPatience) return;
+  if (now - asked_ < kAskInterval) return;
+  asked_ = now;
+  using Kind = peers::DocumentKind;
+  if (old_config) {
+    link.Send(peers::Ask{static_cast<uint8_t>(Kind::kConfig), config});
+  }
+  if (old_fleet) {
+    link.Send(
+        peers::Ask{static_cast<uint8_t>(Kind::kFleet), view_.revision()});
+  }
+}
+
+void Node::OnAsk(peers::Link& link, const peers::Ask& ask) {
+  peers::Document document;
+  document.kind = ask.kind;
+  if (ask.kind == static_cast<uint8_t>(peers::DocumentKind::kConfig)) {
+    if (table_ == nullptr || table_->version() <= ask.have) return;
+    document.version = table_->version();
+    document.text = config_document_;
+  } else {
+    if (view_.revision() <= ask.have) return;
+    document.version = view_.revision();
+    document.text = fleet::EncodeList(view_.List());
+  }
+  link.Send(document);
+}
+
+void Node::OnDocument(const peers::Document& document) {
+  if (document.kind == static_cast<uint8_t>(peers::DocumentKind::kConfig)) {
+    return TakeConfig(document.text, "peer");
+  }
+  try {
+    OnUpstreams(fleet::DecodeList(document.text), document.version);
+  } catch (const base::Error& e) {
+    log_.Write("unreadable", {{"key", "peer's list"}, {"why", e.what()}});
+  }
+}
+
+// ---- Runs and entries.
+
+void Node::OnRunStarted(const std::string&) {}
+void Node::OnRunEnded(const std::string&, Millis) {}
+
+Millis Node::Enter(const routes::Route&, const std::string&, bool, Millis) {
+  return Millis(0);
+}
+
+routes::RetryBudget::Costs Node::RepeatCosts(const std::string&,
+                                             const std::string& service) {
+  return {{service, 1}};
+}
+
+// ---- Readiness, settings, stop.
+
+http::Response Node::Page(const http::Request&) {
+  http::Response response;
+  response.status = ready() ? 200 : 503;
+  response.reason = http::ReasonPhrase(response.status);
+  return response;
+}
+
+void Node::Reload() {
+  try {
+    Settings settings = environment_.settings.Read();
+    settings_.service = settings.service;
+    settings_.upstream = settings.upstream;
+    settings_.retry_budget = settings.retry_budget;
+    settings_.stop_grace = settings.stop_grace;
+    dispatcher_.SetService(settings.service);
+    dispatcher_.retry_budget().Configure(settings.retry_budget);
+    pool_.SetAddress(settings.upstream);
+    gate_.SetUpstream(view_.AtAddress(settings.upstream));
+    log_.Write("reloaded", {{"service", settings.service},
+                            {"upstream", settings.upstream}});
+  } catch (const base::Error& e) {
+    log_.Write("settings_refused", {{"why", e.what()}});
+  }
+}
+
+void Node::PollSettings() {
+  if (environment_.settings.Changed()) Reload();
+  settings_poll_.Start(kSettingsPoll, [this] { PollSettings(); });
+}
+
+void Node::Stop(std::function<void(bool)> done) {
+  if (stopping_) return;
+  stopping_ = true;
+  stop_began_ = timers_.Now();
+  stop_done_ = std::move(done);
+  log_.Write("stop_begins", {{"entries", dispatcher_.in_progress()},
+                             {"runs", gate_.in_progress()}});
+  gate_.Leave();
+  mesh_.Announce();
+  callers_.CloseAfterAnswers();
+  PollStop();
+}
+
+void Node::PollStop() {
+  Millis gone = timers_.Now() - stop_began_;
+  if (gone >= kStopLinger) {
+    callers_.StopAccepting();
+    callers_.CloseIdle();
+  }
+  bool idle = gate_.idle() && dispatcher_.in_progress() == 0 &&
+              callers_.connections() == 0;
+  bool late = gone >= settings_.stop_grace - kStopMargin;
+  if ((gone >= kStopLinger && idle) || late) {
+    log_.Write("stopped", {{"whole", idle}, {"took_ms", gone.count()}});
+    environment_.feed.Stop();
+    mesh_.Close();
+    pages_.Close();
+    return stop_done_(idle);
+  }
+  stop_poll_.Start(kStopPoll, [this] { PollStop(); });
+}
+
+}  // namespace almondwind::sidecar
--- /dev/null
+++ b/almondwind/sidecar/node.h
@@ -0,0 +1,120 @@
+// One sidecar node: it owns the parts and connects them.
+//
+//   feed  -> view, route table -> dispatcher, gate, mesh's targets
+//   peers -> loads, and documents where the node is behind
+//
+// What the platform publishes comes from its store or, when the store turns
+// this node away, from any peer that is ahead. A configuration or list never
+// replaces a newer one.
+//
+// Threads: all of it runs on one event loop.
+#ifndef ALMONDWIND_SIDECAR_NODE_H_
+#define ALMONDWIND_SIDECAR_NODE_H_
+
+#include <boost/asio/io_context.hpp>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "almondwind/fleet/view.h"
+#include "almondwind/loop/timers.h"
+#include "almondwind/peers/mesh.h"
+#include "almondwind/sidecar/caller_server.h"
+#include "almondwind/sidecar/dispatcher.h"
+#include "almondwind/sidecar/environment.h"
+#include "almondwind/sidecar/event_log.h"
+#include "almondwind/sidecar/gate_server.h"
+#include "almondwind/sidecar/page_server.h"
+#include "almondwind/sidecar/upstream_pool.h"
+
+namespace almondwind::sidecar {
+
+// The platform as the node sees it.
+struct Environment {
+  SettingsSource& settings;
+  const Dialect& dialect;
+  const ConfigFormat& config_format;
+  Feed& feed;
+};
+
+class Node : public FeedEvents, public peers::MeshEvents, public RunObserver,
+             public Admission {
+ public:
+  Node(boost::asio::io_context& io, loop::Timers& timers,
+       const base::Clock& clock, const Settings& settings,
+       Environment environment, uint64_t incarnation, EventLog& log);
+  ~Node() override;
+
+  void Start();
+  // Leaves: no new work for the upstream, then, when callers have had time to
+  // go elsewhere, `done` with whether all that was in progress has ended.
+  void Stop(std::function<void(bool whole)> done);
+  // Takes changed settings.
+  void Reload();
+
+  bool ready() const;
+
+  void OnConfig(const std::string& document) override;
+  void OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
+                   uint64_t revision) override;
+  void OnUpstream(const fleet::Upstream& upstream) override;
+  void OnUpstreamGone(const std::string& id, uint64_t revision) override;
+  void OnRevision(uint64_t revision) override;
+  void OnAvailable(bool available, const std::string& why) override;
+  void OnUnreadable(const std::string& key, const std::string& why) override;
+
+  void OnLinkUp(peers::Link& link) override;
+  void OnLinkDown(peers::Link& link) override;
+  void OnFrame(peers::Link& link, peers::Frame frame) override;
+  peers::State Report(const std::string& zone) override;
+
+  void OnRunStarted(const std::string& route) override;
+  void OnRunEnded(const std::string& route, base::Millis took) override;
+
+  base::Millis Enter(const routes::Route& route, const std::string& service,
+                     bool inner, base::Millis now) override;
+  routes::RetryBudget::Costs RepeatCosts(const std::string& route,
+                                         const std::string& service) override;
+
+ private:
+  void TakeConfig(const std::string& document, const std::string& source);
+  void OnViewChanged();
+  void UpdateDirectory();
+  void SweepView();
+  void OnState(peers::Link& link, const peers::State& state);
+  void AskIfBehind(peers::Link& link, const peers::State& state);
+  void OnAsk(peers::Link& link, const peers::Ask& ask);
+  void OnDocument(const peers::Document& document);
+  http::Response Page(const http::Request& request);
+  void PollSettings();
+  void PollStop();
+
+  loop::Timers& timers_;
+  Settings settings_;
+  Environment environment_;
+  EventLog& log_;
+  const base::Millis started_;
+  fleet::View view_;
+  routes::RouteTablePtr table_;
+  std::string config_document_;
+  GateServer gate_;
+  UpstreamPool pool_;
+  Dispatcher dispatcher_;
+  peers::Mesh mesh_;
+  CallerServer callers_;
+  PageServer pages_;
+  loop::Timer sweep_;
+  loop::Timer settings_poll_;
+  loop::Timer stop_poll_;
+  base::Millis asked_{0};
+  base::Millis behind_since_{0};
+  std::map<std::string, bool> peer_leaving_;
+  bool stopping_ = false;
+  base::Millis stop_began_{0};
+  std::function<void(bool)> stop_done_;
+};
+
+}  // namespace almondwind::sidecar
+
+#endif  // ALMONDWIND_SIDECAR_NODE_H_
--- /dev/null
+++ b/almondwind/sidecar/process.cc
@@ -0,0 +1,48 @@
+#include "almondwind/sidecar/process.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <csignal>
+
+#include "almondwind/base/entropy.h"
+#include "almondwind/sidecar/event_log.h"
+
+namespace almondwind::sidecar {
+namespace {
+
+// Time for last frames and log lines to leave before the process ends.
+constexpr base::Millis kLastWrites{50};
+
+}  // namespace
+
+int RunProcess(boost::asio::io_context& io, loop::Timers& timers,
+               const base::Clock& clock, const Settings& settings,
+               Environment environment) {
+  // A write to a closed connection is an error code here, not a signal.
+  std::signal(SIGPIPE, SIG_IGN);
+  EventLog log({settings.node}, clock);
+  base::SystemEntropy entropy;
+  Node node(io, timers, clock, settings, environment, entropy.Next(), log);
+  int code = 0;
+  loop::Timer end(timers);
+  boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
+  std::function<void()> wait = [&] {
+    signals.async_wait([&](boost::system::error_code ec, int signal) {
+      if (ec) return;
+      if (signal == SIGHUP) {
+        node.Reload();
+      } else {
+        node.Stop([&](bool whole) {
+          code = whole ? 0 : 1;
+          end.Start(kLastWrites, [&io] { io.stop(); });
+        });
+      }
+      wait();
+    });
+  };
+  wait();
+  node.Start();
+  io.run();
+  return code;
+}
+
+}  // namespace almondwind::sidecar
--- /dev/null
+++ b/almondwind/sidecar/process.h
@@ -0,0 +1,23 @@
+// The process of a sidecar node: event loop, signals, start and end.
+#ifndef ALMONDWIND_SIDECAR_PROCESS_H_
+#define ALMONDWIND_SIDECAR_PROCESS_H_
+
+#include <boost/asio/io_context.hpp>
+#include <functional>
+
+#include "almondwind/base/clock.h"
+#include "almondwind/loop/timers.h"
+#include "almondwind/sidecar/node.h"
+
+namespace almondwind::sidecar {
+
+// Runs a node until SIGTERM or SIGINT and its graceful stop; SIGHUP rereads
+// the settings. Returns 0 if all that was in progress had ended. Throws if the
+// settings are wrong or a port is taken.
+int RunProcess(boost::asio::io_context& io, loop::Timers& timers,
+               const base::Clock& clock, const Settings& settings,
+               Environment environment);
+
+}  // namespace almondwind::sidecar
+
+#endif  // ALMONDWIND_SIDECAR_PROCESS_H_
--- /dev/null
+++ b/almondwind/sidecar/upstream_pool.cc
@@ -0,0 +1,215 @@
+#include "almondwind/sidecar/upstream_pool.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "almondwind/loop/endpoint.h"
+
+namespace almondwind::sidecar {
+
+using base::EndKind;
+using base::Millis;
+using loop::StreamEnd;
+
+namespace {
+constexpr Millis kSweep{500};
+}  // namespace
+
+class UpstreamPool::Connection : public loop::StreamEvents {
+ public:
+  explicit Connection(UpstreamPool& pool)
+      : pool_(pool),
+        reader_({pool.options_.header_bytes, pool.options_.answer_bytes}),
+        idle_limit_(pool.options_.idle_limit) {}
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+  ~Connection() override {
+    if (stream_ != nullptr) stream_->Close();
+  }
+
+  void Dial() {
+    loop::StreamOptions options;
+    stream_ = loop::Stream::Dial(pool_.io_, pool_.timers_, pool_.endpoint_,
+                                 options, *this);
+  }
+
+  void Send(uint64_t exchange, const http::Request& request,
+            const std::string& request_id) {
+    exchange_ = exchange;
+    request_id_ = request_id;
+    to_head_ = request.method == "HEAD";
+    busy_ = true;
+    std::string bytes;
+    http::Append(request, bytes);
+    stream_->Write(bytes);
+  }
+
+  void OnConnected() override { connected_ = true; }
+
+  void OnData(std::string_view data) override {
+    if (!busy_) return pool_.Erase(*this);  // nobody asked for these bytes
+    reader_.Feed(data);
+    Read(/*ended=*/false);
+  }
+
+  void OnEnd(StreamEnd end) override {
+    ended_ = true;
+    if (!busy_) return pool_.Erase(*this);
+    if (end == StreamEnd::kClosed) return Read(/*ended=*/true);
+    bool sent = connected_ || end != StreamEnd::kUnreachable;
+    Finish(sent ? EndKind::kClosed : EndKind::kUnreachable, {}, {});
+  }
+
+  bool busy() const { return busy_; }
+  uint64_t exchange() const { return exchange_; }
+  Millis idle_since() const { return idle_since_; }
+  Millis idle_limit() const { return idle_limit_; }
+
+ private:
+  void Read(bool ended) {
+    for (;;) {
+      http::ReadState state =
+          ended ? reader_.Finish(to_head_) : reader_.Next(to_head_);
+      if (state == http::ReadState::kPartial) {
+        if (ended) Finish(EndKind::kClosed, {}, {});
+        return;
+      }
+      if (state != http::ReadState::kComplete) {
+        bool large = state == http::ReadState::kBodyTooLarge ||
+                     state == http::ReadState::kHeaderTooLarge;
+        return Finish(large ? EndKind::kTooLarge : EndKind::kClosed, {}, {});
+      }
+      http::Response response = reader_.Take();
+      AnswerMarks marks = pool_.dialect_.ReadAnswer(response);
+      if (marks.request_id && *marks.request_id != request_id_) {
+        spoiled_ = true;  // a late answer to an earlier request
+        continue;
+      }
+      return Finish(EndKind::kAnswer, std::move(response), marks);
+    }
+  }
+
+  void Finish(EndKind kind, http::Response response, const AnswerMarks& marks) {
+    busy_ = false;
+    bool reusable = kind == EndKind::kAnswer && !ended_ && !spoiled_ &&
+                    response.keep_alive && !reader_.in_message();
+    if (marks.idle_limit) {
+      idle_limit_ = *marks.idle_limit * pool_.options_.idle_percent / 100;
+    }
+    idle_since_ = pool_.timers_.Now();
+    if (!reusable) stream_->Close();
+    pool_.OnEnd(*this, kind, std::move(response), marks);
+    // The pool may have erased this object.
+  }
+
+  UpstreamPool& pool_;
+  loop::StreamPtr stream_;
+  http::ResponseReader reader_;
+  uint64_t exchange_ = 0;
+  std::string request_id_;
+  Millis idle_since_{0};
+  Millis idle_limit_;
+  bool to_head_ = false;
+  bool busy_ = false;
+  bool connected_ = false;
+  bool ended_ = false;
+  bool spoiled_ = false;
+
+ public:
+  bool reusable() const { return stream_ != nullptr && stream_->open(); }
+};
+
+UpstreamPool::UpstreamPool(boost::asio::io_context& io, loop::Timers& timers,
+                           const Dialect& dialect,
+                           const UpstreamPoolOptions& options,
+                           UpstreamPoolEvents& events)
+    : io_(io),
+      timers_(timers),
+      dialect_(dialect),
+      options_(options),
+      events_(events),
+      sweep_(timers) {}
+
+UpstreamPool::~UpstreamPool() = default;
+
+void UpstreamPool::SetAddress(const std::string& address) {
+  auto endpoint = loop::ParseEndpoint(address);
+  if (endpoint == endpoint_) return;
+  endpoint_ = endpoint;
+  CloseIdle();
+}
+
+// The last used connection is used next, so that the others run out of time.
+UpstreamPool::Connection* UpstreamPool::TakeIdle(bool fresh) {
+  Connection* best = nullptr;
+  for (Connection& connection : connections_) {
+    if (connection.busy() || !connection.reusable()) continue;
+    Millis idle = timers_.Now() - connection.idle_since();
+    Millis limit = connection.idle_limit();
+    if (fresh) limit = std::min(limit, options_.fresh);
+    if (idle > limit) continue;
+    if (best == nullptr || connection.idle_since() > best->idle_since()) {
+      best = &connection;
+    }
+  }
+  return best;
+}
+
+void UpstreamPool::Send(uint64_t exchange, const http::Request& request,
+                        const std::string& request_id, bool idempotent) {
+  Connection* connection = TakeIdle(/*fresh=*/!idempotent);
+  if (connection == nullptr) {
+    if (connections_.size() >= options_.connections) CloseIdle();
+    if (connections_.size() >= options_.connections) {
+      events_.OnUpstreamEnd(exchange, EndKind::kUnreachable, {}, {});
+      return;
+    }
+    connection = &connections_.emplace_back(*this);
+    connection->Dial();
+    ++dialled_;
+  }
+  busy_[exchange] = connection;
+  connection->Send(exchange, request, request_id);
+}
+
+void UpstreamPool::Cancel(uint64_t exchange) {
+  auto it = busy_.find(exchange);
+  if (it == busy_.end()) return;
+  Connection* connection = it->second;
+  busy_.erase(it);
+  Erase(*connection);
+}
+
+void UpstreamPool::OnEnd(Connection& connection, EndKind kind,
+                         http::Response response, const AnswerMarks& marks) {
+  uint64_t exchange = connection.exchange();
+  busy_.erase(exchange);
+  if (!connection.reusable()) {
+    Erase(connection);
+  } else if (!sweep_.pending()) {
+    sweep_.Start(kSweep, [this] { SweepIdle(); });
+  }
+  events_.OnUpstreamEnd(exchange, kind, std::move(response), marks);
+}
+
+void UpstreamPool::SweepIdle() {
+  Millis now = timers_.Now();
+  bool idle = false;
+  for (auto it = connections_.begin(); it != connections_.end();) {
+    bool over = !it->busy() && now - it->idle_since() > it->idle_limit();
+    idle = idle || (!it->busy() && !over);
+    it = over ? connections_.erase(it) : std::next(it);
+  }
+  if (idle) sweep_.Start(kSweep, [this] { SweepIdle(); });
+}
+
+void UpstreamPool::CloseIdle() {
+  connections_.remove_if([](const Connection& c) { return !c.busy(); });
+}
+
+void UpstreamPool::Erase(Connection& connection) {
+  connections_.remove_if(
+      [&connection](const Connection& c) { return &c == &connection; });
+}
+
+}  // namespace almondwind::sidecar
--- a/almondwind/zones/machine.cc
+++ b/almondwind/zones/machine.cc
@@ -33,6 +33,12 @@
   ejected_until_ = base::Millis(0);
 }
 
+void Machine::OnReport(const links::Load& load, base::Millis now) {
+  load_ = load;
+  load_at_ = now;
+  outstanding_at_load_ = outstanding_;
+}
+
 void Machine::OnAbandoned() { outstanding_ = std::max(0, outstanding_ - 1); }
 
 void Machine::OnFailure(base::Millis now, const EjectOptions& options,
--- a/almondwind/zones/machine.h
+++ b/almondwind/zones/machine.h
@@ -55,6 +55,8 @@
   // every call.
   void OnAnswer(const links::Load& load, bool working, base::Millis now,
                 const EjectOptions& options, double jitter);
+  // The gate told its load outside an answer.
+  void OnReport(const links::Load& load, base::Millis now);
   // The caller went away; says nothing of the machine.
   void OnAbandoned();
   // A call ended without an answer of the gate. `jitter` is in [0, 1).
