Admit at the entry by what a route costs the scarcest service (trial)

Each node learns the calls of its upstream's runs by the deadline that they share, reports costs and demand, and plans the share of each route.

--- /dev/null
+++ b/almondwind/graph/admission.h
@@ -0,0 +1,106 @@
+// Admission of callers' requests by what they cost the scarcest service.
+//
+// The service at the end of a chain bounds what whole requests can finish. A
+// call that it refuses wastes what the layers above have done, so the refusal
+// belongs at the entry, before any work. From the room of every service and
+// the demand and cost of every route the plan follows: routes are served in
+// the order of their priority, each gets what it asks for while there is room,
+// and routes of one priority share alike what is left. All entries compute it
+// from the same reports, so callers of all zones are treated alike.
+//
+// Costs are measured and capacity changes faster than its measurement, so a
+// factor for each service corrects the plan: it falls while requests wait
+// there, and recovers while none do.
+//
+//   admission.SetRoom("pricing", {45, 0});
+//   admission.SetDemand(node, {{"browse", 94.0}}, now);
+//   admission.Plan(routes, costs, now);         // a few times a second
+//   if (!admission.Enter("browse")) Refuse();
+//
+// Cost: Plan is linear in routes with demand times services below them; Enter
+// a look-up. Not thread-safe.
+#ifndef ALMONDWIND_GRAPH_ADMISSION_H_
+#define ALMONDWIND_GRAPH_ADMISSION_H_
+
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "almondwind/base/clock.h"
+#include "almondwind/graph/cost_table.h"
+#include "almondwind/routes/table.h"
+
+namespace almondwind::graph {
+
+struct AdmissionOptions {
+  // Share of a service's slots that the plan fills. The rest takes up bursts:
+  // without it the queue in front of the slots never empties.
+  double fill = 0.92;
+  // Mean wait in a service's queues from which on its factor falls.
+  base::Millis wait_target{12};
+  double fall = 0.94;    // a plan, while requests wait
+  double rise = 0.02;    // a plan, while none do
+  double min_factor = 0.4;
+  double max_factor = 1.15;
+  base::Millis demand_life{2500};  // of a node's report
+};
+
+// What a service can take at once.
+struct Room {
+  double slots = 0;    // of all its upstreams that take work
+  double wait_ms = 0;  // mean wait in front of them
+};
+
+class AdmissionPlan {
+ public:
+  using Demand = std::vector<std::pair<std::string, double>>;
+
+  explicit AdmissionPlan(const AdmissionOptions& options) : options_(options) {}
+
+  void SetRooms(std::map<std::string, Room> rooms) { rooms_ = std::move(rooms); }
+  // Requests a second, by route, that came to `node`.
+  void SetDemand(const std::string& node, const Demand& demand,
+                 base::Millis now);
+  void Plan(const routes::RouteTable& routes, CostTable& costs,
+            base::Millis now);
+  // Whether the next request of `route` may enter.
+  bool Enter(const std::string& route);
+
+  // Share of a route's requests that enter.
+  double share(const std::string& route) const;
+  // Service that bounds a route; empty: none does.
+  const std::string& bound_by(const std::string& route) const;
+
+ private:
+  struct NodeDemand {
+    Demand demand;
+    base::Millis at{0};
+  };
+  struct RoutePlan {
+    double share = 1;
+    double credit = 0.5;  // spreads refusals evenly
+    std::string bound_by;
+  };
+  // One route's part in a round of planning.
+  struct Claim {
+    const routes::Route* route = nullptr;
+    double per_s = 0;
+    std::map<std::string, double> slots;  // that it would fill, by service
+  };
+
+  std::vector<Claim> Claims(const routes::RouteTable& routes, CostTable& costs,
+                            base::Millis now);
+  void Correct();
+  void Grant(std::vector<Claim*> peers, std::map<std::string, double>& left);
+
+  const AdmissionOptions options_;
+  std::map<std::string, Room> rooms_;
+  std::map<std::string, double> factors_;  // by service
+  std::map<std::string, NodeDemand> demand_;
+  std::map<std::string, RoutePlan> plans_;
+};
+
+}  // namespace almondwind::graph
+
+#endif  // ALMONDWIND_GRAPH_ADMISSION_H_
--- a/almondwind/machines/gate.cc
+++ b/almondwind/machines/gate.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <vector>
 
 namespace almondwind::machines {
 
@@ -45,6 +46,10 @@
   return options_.queue[Index(c)];
 }
 
+Millis Gate::Bound(const Request& request) const {
+  return request.max_wait > Millis(0) ? request.max_wait : Bound(request.cls);
+}
+
 size_t Gate::queued() const {
   size_t total = 0;
   for (const Queue& queue : queues_) total += queue.size();
@@ -84,7 +89,7 @@
 }
 
 bool Gate::BelowFloor(RequestClass cls) const {
-  return options_.classes && Index(cls) > Index(floor_);
+  return options_.classes && options_.evict && Index(cls) > Index(floor_);
 }
 
 // The floor rises when a class is refused, and lifts only when half of that
@@ -103,7 +108,7 @@
 }
 
 void Gate::EvictBelow(RequestClass cls) {
-  if (!options_.classes) return;
+  if (!options_.classes || !options_.evict) return;
   for (size_t i = base::kClassCount - 1; i > Index(cls); --i) {
     while (!queues_[i].empty()) {
       RunPtr lower = Pop(queues_[i]);
@@ -133,7 +138,7 @@
   RequestClass cls = run->request->cls;
   if (BelowFloor(cls)) return RefuseForLoad(*run, Reason::kOverload);
   Queue& queue = queues_[QueueOf(*run)];
-  if (Wait(cls, now) > Bound(cls) || queue.size() >= options_.queue_entries) {
+  if (Wait(cls, now) > Bound(*run->request) || queue.size() >= options_.queue_entries) {
     return RefuseForLoad(*run, Reason::kOverload);
   }
   run->state = RunState::kQueued;
@@ -160,7 +165,7 @@
       // paused finds its queue full of requests that nobody waits for.
       if (run->request->deadline <= now) {
         RefuseForLoad(*run, Reason::kDeadline);
-      } else if (now - run->enqueued > Bound(run->request->cls)) {
+      } else if (now - run->enqueued > Bound(*run->request)) {
         RefuseForLoad(*run, Reason::kQueueTimeout);
       } else {
         StartRun(run, now);
@@ -201,18 +206,26 @@
   return true;
 }
 
+// Requests of one class may have different bounds, so all are looked at.
+void Gate::RefuseOverdue(Queue& queue, Millis now) {
+  std::vector<RunPtr> overdue;
+  for (Run& run : queue) {
+    bool late = run.request->deadline <= now ||
+                now - run.enqueued > Bound(*run.request);
+    if (late) overdue.emplace_back(&run);
+  }
+  for (const RunPtr& run : overdue) {
+    if (run->state != RunState::kQueued) continue;  // evicted meanwhile
+    queue.erase(queue.iterator_to(*run));
+    intrusive_ptr_release(run.get());
+    bool expired = run->request->deadline <= now;
+    RefuseForLoad(*run, expired ? Reason::kDeadline : Reason::kQueueTimeout);
+  }
+}
+
 void Gate::Tick(Millis now) {
   // Most important first: a refusal there evicts the rest anyway.
-  for (Queue& queue : queues_) {
-    while (!queue.empty()) {
-      Run& front = queue.front();
-      bool expired = front.request->deadline <= now;
-      bool late = now - front.enqueued > Bound(front.request->cls);
-      if (!expired && !late) break;
-      RunPtr run = Pop(queue);
-      RefuseForLoad(*run, expired ? Reason::kDeadline : Reason::kQueueTimeout);
-    }
-  }
+  for (Queue& queue : queues_) RefuseOverdue(queue, now);
   StartNext(now);
   LiftFloor(now);
 }
--- a/almondwind/machines/gate.h
+++ b/almondwind/machines/gate.h
@@ -46,6 +46,10 @@
   int ramp_start_percent = 20;
   // Whether classes are told apart; without, all wait in one queue.
   bool classes = true;
+  // Whether a class that is refused makes lower ones leave the queue. Where
+  // admission is decided at the entry, what waits here belongs to requests
+  // that were admitted, and refusing it would waste their work.
+  bool evict = true;
 };
 
 class GateEvents {
@@ -105,11 +109,13 @@
 
   size_t QueueOf(const Run& run) const;
   base::Millis Bound(base::RequestClass cls) const;
+  base::Millis Bound(const Request& request) const;
   bool BelowFloor(base::RequestClass cls) const;
   void LiftFloor(base::Millis now);
   void Refuse(Run& run, base::Reason reason);
   void RefuseForLoad(Run& run, base::Reason reason);
   void EvictBelow(base::RequestClass cls);
+  void RefuseOverdue(Queue& queue, base::Millis now);
   void StartNext(base::Millis now);
   void StartRun(const RunPtr& run, base::Millis now);
   RunPtr Pop(Queue& queue);
--- a/almondwind/machines/request.h
+++ b/almondwind/machines/request.h
@@ -25,6 +25,8 @@
   bool idempotent = false;  // may be repeated after an unknown outcome
   std::string key;          // contract of an order
   base::Millis deadline{0};
+  // Longest wait in a gate's queue; zero: the one of its class.
+  base::Millis max_wait{0};
   std::string method;
   std::string target;  // path below the service
   std::string content_type;
--- a/almondwind/peers/frames.cc
+++ b/almondwind/peers/frames.cc
@@ -57,7 +57,7 @@
 }
 template <typename F>
 void Fields(F& f, RouteCost& m) {
-  f(m.route, m.slot_ms, m.calls);
+  f(m.route, m.slot_ms, m.runs_per_s, m.calls);
 }
 template <typename F>
 void Fields(F& f, links::Load& m) {
@@ -71,7 +71,7 @@
 }
 template <typename F>
 void Fields(F& f, Call& m) {
-  f(m.id, m.upstream, m.route, m.cls, m.idempotent, m.inner, m.time_left_ms,
+  f(m.id, m.upstream, m.route, m.cls, m.idempotent, m.max_wait_ms, m.time_left_ms,
     m.caller_service, m.method, m.target, m.headers, m.body);
 }
 template <typename F>
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -48,7 +48,8 @@
 // What one run of a route costs at the sender's service.
 struct RouteCost {
   std::string route;
-  double slot_ms = 0;  // time in a slot, without the calls that it makes
+  double slot_ms = 0;     // time in a slot, waiting for its calls included
+  double runs_per_s = 0;  // at the sender's upstream
   // Calls made by one run, by the called route.
   std::vector<std::pair<std::string, double>> calls;
 };
@@ -73,7 +74,7 @@
   std::string route;
   uint8_t cls = 0;  // base::RequestClass
   bool idempotent = false;
-  bool inner = false;        // made by an upstream, for a request of a caller
+  uint32_t max_wait_ms = 0;  // in the gate's queue
   uint32_t time_left_ms = 0;  // of the request's deadline
   std::string caller_service;
   std::string method;
--- a/almondwind/sidecar/caller_server.cc
+++ b/almondwind/sidecar/caller_server.cc
@@ -3,8 +3,6 @@
 #include <utility>
 #include <vector>
 
-#include "almondwind/loop/endpoint.h"
-
 namespace almondwind::sidecar {
 
 using base::Millis;
@@ -43,11 +41,6 @@
     options.silence = Millis(10'000);  // callers may read slowly
     stream_ = loop::Stream::Adopt(server.timers_, std::move(socket), options,
                                   *this);
-    // The upstream calls from this host's own address.
-    boost::system::error_code ec;
-    auto own = loop::ParseEndpoint(server.options_.listen).address();
-    auto remote = stream_->remote().address();
-    inner_ = remote == own || remote.is_loopback();
   }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -148,7 +141,7 @@
     slot.keep_alive = request.keep_alive;
     slot.to_head = request.method == "HEAD";
     if (!slot.keep_alive) broken_ = true;  // nothing may follow
-    server_.dispatcher_.Accept(std::move(request), inner_, *this);
+    server_.dispatcher_.Accept(std::move(request), *this);
   }
 
   // Returns whether the connection stays open.
@@ -184,7 +177,6 @@
   std::deque<Slot> slots_;  // in the order of the requests
   Millis last_used_;
   Millis message_since_{0};
-  bool inner_ = false;
   bool pumping_ = false;
   bool paused_ = false;
   bool broken_ = false;  // nothing more can be read
--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -84,15 +84,13 @@
   return response;
 }
 
-uint64_t Dispatcher::Accept(http::Request request, bool inner,
-                            CallerEvents& events) {
+uint64_t Dispatcher::Accept(http::Request request, CallerEvents& events) {
   uint64_t id = next_id_++;
   auto owned = std::make_unique<EntryCall>(id, timers_);
   EntryCall& call = *owned;
   call.terms = dialect_.ReadCaller(request.headers);
   call.request = std::move(request);
   call.events = &events;
-  call.inner = inner;
   call.arrived = timers_.Now();
   body_bytes_ += call.request.body.size();
   calls_[id] = std::move(owned);
@@ -112,14 +110,17 @@
   bool full = calls_.size() > options_.calls ||
               body_bytes_ > options_.body_bytes;
   if (full) return Refuse(call, Reason::kTooManyCalls, Millis(500));
-  call.cls = routes::ClassOf(call.route->priority);
   Millis patience = call.terms.patience.value_or(options_.default_patience);
   call.deadline = call.arrived + std::min(patience, call.route->timeout);
   call.service = splitter_.Choose(*call.route).service;
   budget_.OnRequest(call.service, call.arrived);
-  Millis wait = admission_.Enter(*call.route, call.service, call.inner,
-                                 call.arrived);
-  if (wait > Millis(0)) return Refuse(call, Reason::kEntryWindow, wait);
+  Entry entry =
+      admission_.Enter(*call.route, call.arrived + patience, call.arrived);
+  call.inner = entry.inner;
+  call.cls = entry.cls;
+  if (entry.come_back > Millis(0)) {
+    return Refuse(call, Reason::kEntryWindow, entry.come_back);
+  }
   uint64_t id = call.id;
   call.deadline_timer.Start(call.deadline - call.arrived, [this, id] {
     auto it = calls_.find(id);
@@ -177,8 +178,9 @@
   out.route = call.route->name;
   out.cls = static_cast<uint8_t>(call.cls);
   out.idempotent = call.route->idempotent;
-  out.inner = call.inner;
-  out.time_left_ms = static_cast<uint32_t>((call.deadline - now).count());
+  Millis left = std::max(Millis(0), call.deadline - now);
+  out.time_left_ms = static_cast<uint32_t>(left.count());
+  out.max_wait_ms = static_cast<uint32_t>(MaxWait(call, left).count());
   out.caller_service = options_.service;
   out.method = call.request.method;
   out.target = call.request.target;
@@ -198,6 +200,14 @@
   link->Send(out);
 }
 
+Millis Dispatcher::MaxWait(const EntryCall& call, Millis left) const {
+  Millis wait =
+      call.inner
+          ? left * options_.inner_wait_percent / 100
+          : call.route->target_latency * options_.entry_wait_percent / 100;
+  return std::clamp(wait, Millis(1), std::max(Millis(1), left));
+}
+
 void Dispatcher::CancelLeg(EntryCall& call) {
   if (call.leg == 0) return;
   legs_.erase(call.leg);
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -1,8 +1,8 @@
 // The way of a request from this host through the fleet: route, part, upstream,
 // tries, final answer.
 //
-//   dispatcher.Accept(id, request, inner, events);   // -> events.OnAnswer
-//   dispatcher.Abandon(id);                          // the caller has left
+//   uint64_t id = dispatcher.Accept(request, events);  // -> events.OnAnswer
+//   dispatcher.Abandon(id);                            // the caller has left
 //
 // A request is sent to one gate after another. A gate's refusal proves that
 // it has not run, so another gate may be asked at once. When the outcome is
@@ -54,6 +54,12 @@
   int gates = 3;
   // Patience of a caller that names none.
   base::Millis default_patience{30'000};
+  // Longest wait in a gate's queue: of a caller's request, in percent of its
+  // target latency, since a refusal is worth most while there is time to come
+  // back; of an upstream's call, in percent of the time that it has left, since
+  // the work done for its parent would be lost.
+  int entry_wait_percent = 20;
+  int inner_wait_percent = 50;
   // Added for a link to another zone or region when upstreams are compared.
   base::Millis zone_penalty{4};
   base::Millis region_penalty{60};
@@ -63,14 +69,23 @@
   base::Millis max_retry_after{2000};
 };
 
+// How a request is let in.
+struct Entry {
+  // Zero: it enters. Otherwise the time after which to come back.
+  base::Millis come_back{0};
+  // Whether it is a call of the upstream beside the node, made for a request
+  // that has been let in before.
+  bool inner = false;
+  base::RequestClass cls = base::RequestClass::kNormal;
+};
+
 // Told of requests as they enter; decides whether they may.
 class Admission {
  public:
   virtual ~Admission() = default;
-  // Zero: enter. Otherwise the time after which to come back.
-  virtual base::Millis Enter(const routes::Route& route,
-                             const std::string& service, bool inner,
-                             base::Millis now) = 0;
+  // `deadline`: when the one who sent the request stops waiting.
+  virtual Entry Enter(const routes::Route& route, base::Millis deadline,
+                      base::Millis now) = 0;
   // What a repeat of `route` at `service` costs each service, in requests.
   virtual routes::RetryBudget::Costs RepeatCosts(const std::string& route,
                                                  const std::string& service) = 0;
@@ -91,10 +106,9 @@
   zones::Directory& directory() { return directory_; }
   routes::RetryBudget& retry_budget() { return budget_; }
 
-  // Takes a request of a caller, or (`inner`) of the upstream beside the node.
-  // Returns the id under which it is answered; the answer may come before
-  // this returns.
-  uint64_t Accept(http::Request request, bool inner, CallerEvents& events);
+  // Takes a request from this host. Returns the id under which it is answered;
+  // the answer may come before this returns.
+  uint64_t Accept(http::Request request, CallerEvents& events);
   // The next id that Accept will use.
   uint64_t next_id() const { return next_id_; }
   void Abandon(uint64_t id);
@@ -118,6 +132,7 @@
   zones::Machine* Choose(EntryCall& call);
   std::vector<zones::Machine*> Candidates(const EntryCall& call, bool any);
   void SendLeg(EntryCall& call, zones::Machine& machine);
+  base::Millis MaxWait(const EntryCall& call, base::Millis left) const;
   void CancelLeg(EntryCall& call);
   void OnNotRun(EntryCall& call, const peers::Answer& answer);
   void OnUnknown(EntryCall& call, base::Reason reason);
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -110,7 +110,9 @@
   request->id = call.route;
   request->cls = static_cast<base::RequestClass>(call.cls);
   request->idempotent = call.idempotent;
-  request->deadline = now + Millis(call.time_left_ms);
+  request->deadline =
+      now + Millis(call.time_left_ms) - options_.refusal_margin;
+  request->max_wait = Millis(call.max_wait_ms);
   machines::RunPtr run(new machines::Run);
   run->id = next_run_++;
   run->request = request;
@@ -130,12 +132,13 @@
 void GateServer::Start(machines::Run& run) {
   uint64_t id = run.id;
   GateRun& held = runs_.at(id);
-  Millis left = run.request->deadline - timers_.Now();
+  Millis now = timers_.Now();
+  Millis left = run.request->deadline + options_.refusal_margin - now;
   if (left < options_.min_time_left) {
-    gate_->End(run, {}, timers_.Now());
+    gate_->End(run, {}, now);
     return Answer(id, NotRun(Reason::kDeadline));
   }
-  observer_.OnRunStarted(held.call.route);
+  observer_.OnRunStarted(id, held.call.route, run.request->cls, now + left);
   http::Request request = UpstreamRequest(held, left);
   std::string request_id = dialect_.ReadCaller(request.headers).request_id;
   pool_->Send(id, request, request_id, held.call.idempotent);
@@ -171,8 +174,9 @@
   if (it == runs_.end()) return;
   machines::RunPtr run = it->second.run;
   Millis now = timers_.Now();
-  observer_.OnRunEnded(it->second.call.route, now - run->started);
   peers::Answer answer = Judge(kind, std::move(response), marks);
+  bool completed = answer.status / 100 == 2;
+  observer_.OnRunEnded(exchange, completed, now - run->started);
   machines::RunEnd end;
   end.shed = marks.not_run;
   gate_->End(*run, end, now);
@@ -219,7 +223,7 @@
   // What must not run twice is left to finish: breaking it off would not make
   // it undone.
   if (!held.call.idempotent) return;
-  observer_.OnRunEnded(held.call.route, now - run->started);
+  observer_.OnRunEnded(id, /*completed=*/false, now - run->started);
   run->cancelled = true;
   pool_->Cancel(id);
   by_key_.erase(key);
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -37,13 +37,21 @@
 class RunObserver {
  public:
   virtual ~RunObserver() = default;
-  virtual void OnRunStarted(const std::string& route) = 0;
-  // `took`: time in the upstream's slot.
-  virtual void OnRunEnded(const std::string& route, base::Millis took) = 0;
+  // The upstream has been told to end by `deadline`.
+  virtual void OnRunStarted(uint64_t run, const std::string& route,
+                            base::RequestClass cls, base::Millis deadline) = 0;
+  // `completed`: with success, after `took` in the upstream's slot.
+  virtual void OnRunEnded(uint64_t run, bool completed, base::Millis took) = 0;
 };
 
 struct GateServerOptions {
-  machines::GateOptions gate;
+  machines::GateOptions gate = [] {
+    machines::GateOptions o;
+    o.evict = false;
+    return o;
+  }();
+  // Left at the end of a request's time for a refusal to reach its caller.
+  base::Millis refusal_margin{25};
   // A request with less time left is refused rather than run.
   base::Millis min_time_left{5};
 };
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -23,6 +23,8 @@
 constexpr Millis kAskInterval{300};
 constexpr Millis kSettingsPoll{1000};
 constexpr Millis kStopPoll{50};
+// Admission is planned anew this often; peers report as often.
+constexpr Millis kPlanInterval{250};
 // On a stop: until callers, who are told within two readiness checks of a
 // second each, go elsewhere.
 constexpr Millis kStopLinger{2300};
@@ -73,10 +75,11 @@
       log_(log),
       started_(timers.Now()),
       view_(fleet::ViewOptions()),
-      gate_(timers, environment.dialect, GateServerOptions(), log, *this),
+      traffic_(TrafficOptions()),
+      gate_(timers, environment.dialect, GateServerOptions(), log, traffic_),
       pool_(io, timers, environment.dialect, PoolOptionsFrom(settings), gate_),
       dispatcher_(timers, environment.dialect, DispatcherOptionsFrom(settings),
-                  gate_, *this, log, incarnation),
+                  gate_, traffic_, log, incarnation),
       mesh_(io, timers, MeshOptionsFrom(settings, incarnation,
                                         environment.dialect), *this),
       callers_(io, timers, CallerOptionsFrom(settings), dispatcher_),
@@ -84,7 +87,8 @@
              [this](const http::Request& r) { return Page(r); }),
       sweep_(timers),
       settings_poll_(timers),
-      stop_poll_(timers) {
+      stop_poll_(timers),
+      plan_(timers) {
   gate_.Attach(pool_);
   pool_.SetAddress(settings.upstream);
   dispatcher_.Attach(mesh_);
@@ -97,6 +101,7 @@
   mesh_.Listen();
   environment_.feed.Start(*this);
   settings_poll_.Start(kSettingsPoll, [this] { PollSettings(); });
+  PlanAdmission();
   log_.Write("started", {{"service", settings_.service},
                          {"upstream", settings_.upstream},
                          {"zone", settings_.zone}});
@@ -133,6 +138,7 @@
   table_ = table;
   config_document_ = document;
   dispatcher_.SetTable(table);
+  traffic_.SetTable(table);
   log_.Write("config", {{"version", table->version()},
                         {"before", have},
                         {"source", source},
@@ -243,11 +249,13 @@
   state.leaving = stopping_;
   state.service = settings_.service;
   state.load = gate_.Load();
+  traffic_.Fill(state, timers_.Now());
   return state;
 }
 
 void Node::OnState(peers::Link& link, const peers::State& state) {
   dispatcher_.OnLoad(link.peer(), state.load);
+  traffic_.OnReport(link.peer(), state, timers_.Now());
   AskIfBehind(link, state);
 }
 
@@ -301,18 +309,26 @@
   }
 }
 
-// ---- Runs and entries.
-
-void Node::OnRunStarted(const std::string&) {}
-void Node::OnRunEnded(const std::string&, Millis) {}
-
-Millis Node::Enter(const routes::Route&, const std::string&, bool, Millis) {
-  return Millis(0);
-}
-
-routes::RetryBudget::Costs Node::RepeatCosts(const std::string&,
-                                             const std::string& service) {
-  return {{service, 1}};
+void Node::PlanAdmission() {
+  Millis now = timers_.Now();
+  peers::State own = Report(settings_.zone);
+  dispatcher_.OnLoad(settings_.links, own.load);
+  traffic_.OnReport(settings_.links, own, now);
+  traffic_.Plan(dispatcher_.directory(), zones::EjectOptions(), now);
+  LogPlan(own);
+  plan_.Start(kPlanInterval, [this] { PlanAdmission(); });
+}
+
+// Says which routes are being refused in part, and what bounds them.
+void Node::LogPlan(const peers::State& own) {
+  for (const auto& [route, rate] : own.demand) {
+    double share = traffic_.plan().share(route);
+    if (share >= 1) continue;
+    log_.Write("admission", {{"route", route},
+                             {"share", share},
+                             {"bound_by", traffic_.plan().bound_by(route)},
+                             {"demand_per_s", rate}});
+  }
 }
 
 // ---- Readiness, settings, stop.
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -26,6 +26,7 @@
 #include "almondwind/sidecar/event_log.h"
 #include "almondwind/sidecar/gate_server.h"
 #include "almondwind/sidecar/page_server.h"
+#include "almondwind/sidecar/traffic.h"
 #include "almondwind/sidecar/upstream_pool.h"
 
 namespace almondwind::sidecar {
@@ -38,8 +39,7 @@
   Feed& feed;
 };
 
-class Node : public FeedEvents, public peers::MeshEvents, public RunObserver,
-             public Admission {
+class Node : public FeedEvents, public peers::MeshEvents {
  public:
   Node(boost::asio::io_context& io, loop::Timers& timers,
        const base::Clock& clock, const Settings& settings,
@@ -69,14 +69,6 @@
   void OnFrame(peers::Link& link, peers::Frame frame) override;
   peers::State Report(const std::string& zone) override;
 
-  void OnRunStarted(const std::string& route) override;
-  void OnRunEnded(const std::string& route, base::Millis took) override;
-
-  base::Millis Enter(const routes::Route& route, const std::string& service,
-                     bool inner, base::Millis now) override;
-  routes::RetryBudget::Costs RepeatCosts(const std::string& route,
-                                         const std::string& service) override;
-
  private:
   void TakeConfig(const std::string& document, const std::string& source);
   void OnViewChanged();
@@ -89,6 +81,8 @@
   http::Response Page(const http::Request& request);
   void PollSettings();
   void PollStop();
+  void PlanAdmission();
+  void LogPlan(const peers::State& own);
 
   loop::Timers& timers_;
   Settings settings_;
@@ -98,6 +92,7 @@
   fleet::View view_;
   routes::RouteTablePtr table_;
   std::string config_document_;
+  Traffic traffic_;
   GateServer gate_;
   UpstreamPool pool_;
   Dispatcher dispatcher_;
@@ -107,6 +102,7 @@
   loop::Timer sweep_;
   loop::Timer settings_poll_;
   loop::Timer stop_poll_;
+  loop::Timer plan_;
   base::Millis asked_{0};
   base::Millis behind_since_{0};
   std::map<std::string, bool> peer_leaving_;
