Choose upstreams by free slots, the own zone first

Cause: least_wait sent all entries to the fastest upstream until its queue made up for its speed; gates of the entry services queued 50 to 135 ms while others had free slots, and the admission plan was corrected down to a third for it.

--- a/almondwind/graph/admission.cc
+++ b/almondwind/graph/admission.cc
@@ -50,7 +50,10 @@
 void AdmissionPlan::Correct() {
   for (const auto& [service, room] : rooms_) {
     double& factor = factors_.try_emplace(service, 1).first->second;
-    bool waits = room.wait_ms > static_cast<double>(options_.wait_target.count());
+    double target =
+        std::max(static_cast<double>(options_.wait_target.count()),
+                 options_.wait_share * room.slot_ms);
+    bool waits = room.wait_ms > target;
     factor = waits ? factor * options_.fall : factor + options_.rise;
     factor = std::clamp(factor, options_.min_factor, options_.max_factor);
   }
@@ -107,6 +110,10 @@
     }
   }
   std::vector<Claim> claims = Claims(routes, costs, now);
+  wanted_.clear();
+  for (const Claim& claim : claims) {
+    for (const auto& [service, slots] : claim.slots) wanted_[service] += slots;
+  }
   std::map<int, std::vector<Claim*>> by_priority;
   for (Claim& claim : claims) {
     by_priority[claim.route->priority].push_back(&claim);
@@ -130,6 +137,16 @@
   return it == plans_.end() ? 1 : it->second.share;
 }
 
+double AdmissionPlan::factor(const std::string& service) const {
+  auto it = factors_.find(service);
+  return it == factors_.end() ? 1 : it->second;
+}
+
+double AdmissionPlan::wanted(const std::string& service) const {
+  auto it = wanted_.find(service);
+  return it == wanted_.end() ? 0 : it->second;
+}
+
 const std::string& AdmissionPlan::bound_by(const std::string& route) const {
   static const std::string kNone;
   auto it = plans_.find(route);
--- a/almondwind/graph/admission.h
+++ b/almondwind/graph/admission.h
@@ -37,11 +37,13 @@
   // Share of a service's slots that the plan fills. The rest takes up bursts:
   // without it the queue in front of the slots never empties.
   double fill = 0.92;
-  // Mean wait in a service's queues from which on its factor falls.
+  // Mean wait in a service's queues from which on its factor falls: the larger
+  // of a time and a share of the time that a request holds a slot.
   base::Millis wait_target{12};
+  double wait_share = 0.2;
   double fall = 0.94;    // a plan, while requests wait
   double rise = 0.02;    // a plan, while none do
-  double min_factor = 0.4;
+  double min_factor = 0.6;
   double max_factor = 1.15;
   base::Millis demand_life{2500};  // of a node's report
 };
@@ -50,6 +52,7 @@
 struct Room {
   double slots = 0;    // of all its upstreams that take work
   double wait_ms = 0;  // mean wait in front of them
+  double slot_ms = 0;  // mean time of a request in a slot
 };
 
 class AdmissionPlan {
@@ -69,6 +72,10 @@
 
   // Share of a route's requests that enter.
   double share(const std::string& route) const;
+  const std::map<std::string, Room>& rooms() const { return rooms_; }
+  // Correction of a service's room, and the slots that all ask for there.
+  double factor(const std::string& service) const;
+  double wanted(const std::string& service) const;
   // Service that bounds a route; empty: none does.
   const std::string& bound_by(const std::string& route) const;
 
@@ -97,6 +104,7 @@
   const AdmissionOptions options_;
   std::map<std::string, Room> rooms_;
   std::map<std::string, double> factors_;  // by service
+  std::map<std::string, double> wanted_;   // slots, by service
   std::map<std::string, NodeDemand> demand_;
   std::map<std::string, RoutePlan> plans_;
 };
--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -55,7 +55,7 @@
         o.region = options_.region;
         return o;
       }()),
-      picker_(zones::MakePicker("least_wait")),
+      picker_(zones::MakePicker("free_slots")),
       random_(seed) {}
 
 Dispatcher::~Dispatcher() = default;
@@ -154,6 +154,7 @@
   context.region = options_.region;
   context.zone_penalty = options_.zone_penalty;
   context.region_penalty = options_.region_penalty;
+  context.zone_preference = options_.zone_preference;
   return picker_->Pick(candidates, context, random_);
 }
 
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -63,6 +63,10 @@
   // Added for a link to another zone or region when upstreams are compared.
   base::Millis zone_penalty{4};
   base::Millis region_penalty{60};
+  // How much a free slot in the own zone counts beside one in another: bytes
+  // between zones are priced, and an own zone that is short of slots gives
+  // only a part of its load to the others.
+  double zone_preference = 8;
   zones::EjectOptions eject;
   // Shortest and longest time after which a refused caller may come back.
   base::Millis min_retry_after{100};
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -25,6 +25,7 @@
 constexpr Millis kStopPoll{50};
 // Admission is planned anew this often; peers report as often.
 constexpr Millis kPlanInterval{250};
+constexpr Millis kPlanLogInterval{2000};
 // On a stop: until callers, who are told within two readiness checks of a
 // second each, go elsewhere.
 constexpr Millis kStopLinger{2300};
@@ -321,14 +322,26 @@
 
 // Says which routes are being refused in part, and what bounds them.
 void Node::LogPlan(const peers::State& own) {
+  Millis now = timers_.Now();
+  if (now - plan_logged_ < kPlanLogInterval) return;
+  nlohmann::json routes;
   for (const auto& [route, rate] : own.demand) {
     double share = traffic_.plan().share(route);
     if (share >= 1) continue;
-    log_.Write("admission", {{"route", route},
-                             {"share", share},
-                             {"bound_by", traffic_.plan().bound_by(route)},
-                             {"demand_per_s", rate}});
+    routes[route] = {{"share", share},
+                     {"bound_by", traffic_.plan().bound_by(route)},
+                     {"demand_per_s", rate}};
+  }
+  if (routes.empty()) return;
+  plan_logged_ = now;
+  nlohmann::json rooms;
+  for (const auto& [service, room] : traffic_.plan().rooms()) {
+    rooms[service] = {{"slots", room.slots},
+                      {"wait_ms", room.wait_ms},
+                      {"factor", traffic_.plan().factor(service)},
+                      {"wanted", traffic_.plan().wanted(service)}};
   }
+  log_.Write("admission", {{"routes", routes}, {"rooms", rooms}});
 }
 
 // ---- Readiness, settings, stop.
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -107,6 +107,7 @@
   base::Millis behind_since_{0};
   std::map<std::string, bool> peer_leaving_;
   bool stopping_ = false;
+  base::Millis plan_logged_{0};
   base::Millis stop_began_{0};
   std::function<void(bool)> stop_done_;
 };
--- a/almondwind/sidecar/traffic.cc
+++ b/almondwind/sidecar/traffic.cc
@@ -82,6 +82,7 @@
     double sum = room.slots + slots;
     if (sum <= 0) continue;
     room.wait_ms = (room.wait_ms * room.slots + wait * slots) / sum;
+    room.slot_ms = (room.slot_ms * room.slots + load.service_ms * slots) / sum;
     room.slots = sum;
   }
   plan_.SetRooms(std::move(rooms));
--- a/almondwind/zones/machine.cc
+++ b/almondwind/zones/machine.cc
@@ -100,6 +100,13 @@
   return std::max(base::Millis(0), reported - (now - load_at_));
 }
 
+double Machine::Free(base::Millis now) const {
+  bool old = now - load_at_ > kReportLife;
+  int sent_since = std::max(0, outstanding_ - outstanding_at_load_);
+  double busy = old ? outstanding_ : load_.in_progress + sent_since;
+  return static_cast<double>(load_.limit) - busy;
+}
+
 double Machine::Expected(base::RequestClass cls, base::Millis now) const {
   double wait = Wait(cls, now);
   if (load_.limit == 0) return wait;
--- a/almondwind/zones/machine.h
+++ b/almondwind/zones/machine.h
@@ -76,6 +76,9 @@
   double Wait(base::RequestClass cls, base::Millis now) const;
   // Time until a new call of `cls` would be admitted, 0 if at once.
   base::Millis RetryAfter(base::RequestClass cls, base::Millis now) const;
+  // Slots free for a new call by the last report and the calls sent since; at
+  // most its limit, and less than 0 where calls wait.
+  double Free(base::Millis now) const;
   // Expected time until the answer of a new call, in milliseconds.
   double Expected(base::RequestClass cls, base::Millis now) const;
 
--- a/almondwind/zones/picker.cc
+++ b/almondwind/zones/picker.cc
@@ -1,5 +1,7 @@
 #include "almondwind/zones/picker.h"
 
+#include <algorithm>
+
 namespace almondwind::zones {
 namespace {
 
@@ -45,6 +47,31 @@
   }
 };
 
+class FreeSlotsPicker : public Picker {
+ public:
+  Machine* Pick(const std::vector<Machine*>& candidates,
+                const PickContext& context, Random& random) const override {
+    std::vector<double> weights;
+    double total = 0;
+    for (Machine* machine : candidates) {
+      // A machine that has not reported yet is tried like one with one slot.
+      double free = machine->load().limit == 0 ? 1 : machine->Free(context.now);
+      double weight = std::max(0.0, free);
+      if (machine->entry().zone == context.zone) {
+        weight *= context.zone_preference;
+      }
+      weights.push_back(weight);
+      total += weight;
+    }
+    if (total <= 0) return waiting_.Pick(candidates, context, random);
+    std::discrete_distribution<size_t> pick(weights.begin(), weights.end());
+    return candidates[pick(random)];
+  }
+
+ private:
+  LeastWaitPicker waiting_;
+};
+
 }  // namespace
 
 double Score(const Machine& machine, const PickContext& context) {
@@ -61,6 +88,7 @@
 std::unique_ptr<Picker> MakePicker(const std::string& name) {
   if (name == "random") return std::make_unique<RandomPicker>();
   if (name == "two_choices") return std::make_unique<TwoChoicesPicker>();
+  if (name == "free_slots") return std::make_unique<FreeSlotsPicker>();
   return std::make_unique<LeastWaitPicker>();
 }
 
--- a/almondwind/zones/picker.h
+++ b/almondwind/zones/picker.h
@@ -6,6 +6,11 @@
 //   two_choices  the better of two picked at random (Mitzenmacher, 2001)
 //   least_wait   the smallest expected time until the answer, with the way
 //                to another zone added to it (compare Prequal, NSDI 2024)
+//   free_slots   at random in proportion to the free slots, the own zone before
+//                others; where none is free, by least_wait. Many nodes with
+//                reports of different age spread over unequal machines, where
+//                least_wait sends all to the fastest until its queue makes up
+//                for its speed
 // Cost: linear in the candidates, of which there are at most a subset's size.
 #ifndef ALMONDWIND_ZONES_PICKER_H_
 #define ALMONDWIND_ZONES_PICKER_H_
@@ -30,6 +35,9 @@
   std::string region;
   base::Millis zone_penalty{1};     // added for another zone
   base::Millis region_penalty{30};  // added for another region
+  // How much a free slot of the own zone counts beside one of another
+  // (free_slots only).
+  double zone_preference = 1;
 };
 
 class Picker {
