End the reading of an answer without a length; tests of the sidecar path

Cause: an answer that ends with its connection is never done, and the parser was asked again and again with no bytes: the process hung until it was killed. Tests: reader at every split and smuggling, routes, view, call graph and admission under a surge, frames, and the whole path over sockets.

--- /dev/null
+++ b/almondwind/graph/testing/graph_test.cc
@@ -0,0 +1,256 @@
+// Learned call graph and admission, under the loads that they answer.
+
+#define BOOST_TEST_MODULE graph
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "almondwind/graph/admission.h"
+#include "almondwind/graph/cost_table.h"
+#include "almondwind/graph/run_tracker.h"
+
+namespace almondwind::graph {
+namespace {
+
+using base::Millis;
+using base::RequestClass;
+using peers::RouteCost;
+using routes::Route;
+using routes::RouteTable;
+using routes::RouteTablePtr;
+
+Route MakeRoute(const std::string& name, const std::string& service,
+                int priority) {
+  Route route;
+  route.name = name;
+  route.host = "h";
+  route.prefix = "/" + name + "/";
+  route.idempotent = true;
+  route.timeout = Millis(1000);
+  route.priority = priority;
+  route.parts = {{service, 1}};
+  return route;
+}
+
+// Four services in a chain; the last is small. A browse and a quote cost it
+// eight calls each, a comparison one, a download none.
+RouteTablePtr ChainRoutes() {
+  return RouteTable::Build(
+      1,
+      {MakeRoute("browse", "catalogue", 2), MakeRoute("quote", "quotations", 0),
+       MakeRoute("download", "drawings", 2), MakeRoute("compare", "pricing", 1),
+       MakeRoute("lookup", "quotations", 2), MakeRoute("survey", "drawings", 2),
+       MakeRoute("rates", "pricing", 2)},
+      {{"catalogue", "", 0}, {"quotations", "", 0}, {"drawings", "", 0},
+       {"pricing", "", 0}},
+      {});
+}
+
+void ReportChain(CostTable& costs, Millis now) {
+  costs.Report("n1", "catalogue", {{"browse", 500, 90, {{"lookup", 2}}}}, now);
+  costs.Report("n2", "quotations",
+               {{"quote", 300, 50, {{"survey", 2}}},
+                {"lookup", 160, 180, {{"survey", 1}}}},
+               now);
+  costs.Report("n3", "drawings",
+               {{"download", 300, 40, {}}, {"survey", 140, 300, {{"rates", 4}}}},
+               now);
+  costs.Report("n4", "pricing", {{"compare", 48, 33, {}}, {"rates", 30, 1200, {}}},
+               now);
+}
+
+std::map<std::string, Room> Rooms(double pricing_slots) {
+  return {{"catalogue", {240, 0, 0}},
+          {"quotations", {240, 0, 0}},
+          {"drawings", {240, 0, 0}},
+          {"pricing", {pricing_slots, 0, 0}}};
+}
+
+int Entered(AdmissionPlan& plan, const std::string& route, int of) {
+  int entered = 0;
+  for (int i = 0; i < of; ++i) entered += plan.Enter(route) ? 1 : 0;
+  return entered;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(costs_follow_the_calls_down) {
+  CostTable costs({});
+  Millis now(1000);
+  ReportChain(costs, now);
+  RouteTablePtr routes = ChainRoutes();
+  Costs browse = costs.Of("browse", "catalogue", *routes, now);
+  BOOST_TEST(browse["catalogue"].requests == 1);
+  BOOST_TEST(browse["quotations"].requests == 2);
+  BOOST_TEST(browse["drawings"].requests == 2);
+  BOOST_TEST(browse["pricing"].requests == 8);
+  BOOST_TEST(browse["pricing"].slot_ms == 240);
+  Costs download = costs.Of("download", "drawings", *routes, now);
+  BOOST_TEST(download.count("pricing") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_loop_of_calls_ends) {
+  CostTable costs({});
+  Millis now(1000);
+  costs.Report("n", "catalogue", {{"browse", 10, 1, {{"browse", 1}}}}, now);
+  RouteTablePtr routes = ChainRoutes();
+  Costs browse = costs.Of("browse", "catalogue", *routes, now);
+  BOOST_TEST(browse["catalogue"].requests <= 30);
+}
+
+BOOST_AUTO_TEST_CASE(a_chain_fifteen_deep_is_followed) {
+  std::vector<Route> list;
+  std::vector<routes::Service> services;
+  CostTable costs({});
+  Millis now(1000);
+  for (int i = 0; i < 15; ++i) {
+    std::string service = "s" + std::to_string(i);
+    services.push_back({service, "", 0});
+    list.push_back(MakeRoute("r" + std::to_string(i), service, 1));
+    RouteCost cost{"r" + std::to_string(i), 10, 5, {}};
+    if (i < 14) cost.calls = {{"r" + std::to_string(i + 1), 2}};
+    costs.Report(service, service, {cost}, now);
+  }
+  RouteTablePtr routes = RouteTable::Build(1, list, services, {});
+  Costs top = costs.Of("r0", "s0", *routes, now);
+  BOOST_TEST(top["s14"].requests == 16384);
+}
+
+// A surge: callers ask for 1.8 times what the last service can do. Requests
+// of higher priority all enter, the browse gets what is left and no more, and
+// the download, which costs the last service nothing, is not touched.
+BOOST_AUTO_TEST_CASE(a_surge_is_paid_by_the_least_important_route_below) {
+  AdmissionOptions options;
+  options.fill = 1;
+  AdmissionPlan plan(options);
+  CostTable costs({});
+  Millis now(1000);
+  ReportChain(costs, now);
+  RouteTablePtr routes = ChainRoutes();
+  plan.SetRooms(Rooms(45));
+  plan.SetDemand("e1", {{"browse", 85.0}, {"quote", 50.0}, {"compare", 30.0}},
+                 now);
+  plan.SetDemand("e2", {{"browse", 85.0}, {"quote", 50.0}, {"download", 70.0}},
+                 now);
+  plan.Plan(*routes, costs, now);
+  BOOST_TEST(Entered(plan, "quote", 1000) == 1000);
+  BOOST_TEST(Entered(plan, "compare", 1000) == 1000);
+  BOOST_TEST(Entered(plan, "download", 1000) == 1000);
+  BOOST_TEST(plan.bound_by("browse") == "pricing");
+  // 45 slots, the factor's first step of 1.02, less 24 for quotes and 1.44
+  // for comparisons, over 40.8 wanted.
+  double share = (45 * 1.02 - 24 - 1.44) / 40.8;
+  BOOST_TEST(plan.share("browse") == share,
+             boost::test_tools::tolerance(0.001));
+  BOOST_TEST(std::abs(Entered(plan, "browse", 1000) - 1000 * share) <= 1.5);
+}
+
+BOOST_AUTO_TEST_CASE(a_calm_day_is_not_touched) {
+  AdmissionPlan plan({});
+  CostTable costs({});
+  Millis now(1000);
+  ReportChain(costs, now);
+  plan.SetRooms(Rooms(45));
+  plan.SetDemand("e", {{"browse", 90.0}, {"quote", 50.0}}, now);
+  plan.Plan(*ChainRoutes(), costs, now);
+  BOOST_TEST(Entered(plan, "browse", 1000) == 1000);
+}
+
+// The last service turns slow: what one request costs it has not been learned
+// yet, but requests wait there. The plan gives way, and comes back after.
+BOOST_AUTO_TEST_CASE(waits_below_cut_the_plan_and_it_recovers) {
+  AdmissionPlan plan({});
+  CostTable costs({});
+  RouteTablePtr routes = ChainRoutes();
+  Millis now(1000);
+  auto step = [&](double wait_ms) {
+    now = now + Millis(250);
+    ReportChain(costs, now);
+    std::map<std::string, Room> rooms = Rooms(45);
+    rooms["pricing"].wait_ms = wait_ms;
+    plan.SetRooms(rooms);
+    plan.SetDemand("e", {{"browse", 90.0}, {"quote", 50.0}}, now);
+    plan.Plan(*routes, costs, now);
+  };
+  step(0);
+  BOOST_TEST(plan.share("browse") == 1);
+  for (int i = 0; i < 12; ++i) step(100);
+  BOOST_TEST(plan.share("browse") < 0.75);
+  BOOST_TEST(plan.share("quote") == 1);
+  for (int i = 0; i < 40; ++i) step(0);
+  BOOST_TEST(plan.share("browse") == 1);
+}
+
+BOOST_AUTO_TEST_CASE(reports_of_nodes_that_are_gone_are_dropped) {
+  AdmissionPlan plan({});
+  CostTable costs({});
+  Millis now(1000);
+  ReportChain(costs, now);
+  plan.SetRooms(Rooms(10));
+  plan.SetDemand("gone", {{"browse", 500.0}}, now);
+  plan.Plan(*ChainRoutes(), costs, now);
+  BOOST_TEST(plan.share("browse") < 0.2);
+  now = now + Millis(3000);
+  ReportChain(costs, now);
+  plan.Plan(*ChainRoutes(), costs, now);
+  BOOST_TEST(plan.share("browse") == 1);
+}
+
+// The tracker sees requests of clients and calls of runs mixed on one host,
+// with deadlines that agree by chance now and then.
+BOOST_AUTO_TEST_CASE(calls_are_told_from_clients_requests_by_their_deadline) {
+  RunTracker tracker({});
+  std::mt19937_64 random(20261204);
+  struct Live {
+    uint64_t run;
+    int64_t deadline;
+    int64_t ends;
+    int64_t next_call;
+    int calls_left;
+  };
+  std::vector<Live> live;
+  uint64_t next = 1;
+  int calls = 0;
+  int matched_calls = 0;
+  int clients = 0;
+  int matched_clients = 0;
+  for (int64_t t = 1000; t < 41'000; ++t) {
+    if (random() % 25 == 0) {  // 40 runs a second, two calls each
+      auto timeout = static_cast<int64_t>(600 + random() % 200);
+      live.push_back({next, t + timeout, t + 400, t + 100, 2});
+      tracker.Start(next++, "browse", RequestClass::kNormal,
+                    Millis(t + timeout));
+    }
+    if (random() % 50 == 0) {  // clients of the same host
+      ++clients;
+      auto patience = static_cast<int64_t>(500 + random() % 5000);
+      matched_clients +=
+          tracker.Match("compare", Millis(t + patience)).has_value() ? 1 : 0;
+    }
+    for (size_t i = 0; i < live.size();) {
+      Live& l = live[i];
+      if (l.calls_left > 0 && t >= l.next_call) {
+        auto late = static_cast<int64_t>(random() % 4);  // read that late
+        ++calls;
+        auto parent = tracker.Match("lookup", Millis(l.deadline + late));
+        matched_calls += parent ? 1 : 0;
+        --l.calls_left;
+        l.next_call += 150;
+      }
+      if (t < l.ends) {
+        ++i;
+        continue;
+      }
+      tracker.End(l.run, true, Millis(400), Millis(t));
+      live.erase(live.begin() + static_cast<ptrdiff_t>(i));
+    }
+  }
+  BOOST_TEST(matched_calls >= calls * 99 / 100);
+  BOOST_TEST(matched_clients <= clients * 2 / 100);
+  std::vector<RouteCost> costs = tracker.Costs(Millis(41'000));
+  BOOST_TEST(costs.size() == 1U);
+  BOOST_TEST(costs[0].calls.size() == 1U);
+  BOOST_TEST(std::abs(costs[0].calls[0].second - 2) < 0.3);
+  BOOST_TEST(std::abs(costs[0].slot_ms - 400) < 1);
+}
+
+}  // namespace almondwind::graph
--- a/almondwind/http/reader.cc
+++ b/almondwind/http/reader.cc
@@ -49,13 +49,14 @@
   // is complete.
   bool Parse(std::string& buffer, error_code& ec) {
     size_t used = 0;
-    while (!this->is_done()) {
+    // A body without a length is never done: it ends with its connection.
+    while (!this->is_done() && used < buffer.size()) {
       size_t step = this->put(
           boost::asio::buffer(buffer.data() + used, buffer.size() - used), ec);
       used += step;
       if (ec == beast::http::error::need_more) {
         ec = {};
-        if (step == 0 || used == buffer.size()) break;
+        if (step == 0) break;
       }
       if (ec) break;
     }
--- /dev/null
+++ b/almondwind/http/testing/reader_test.cc
@@ -0,0 +1,214 @@
+// Reading of HTTP messages: every split of the bytes gives the same messages,
+// and nothing that two parsers could read differently gets through.
+
+#define BOOST_TEST_MODULE http_reader
+#include "almondwind/http/reader.h"
+
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <vector>
+
+namespace almondwind::http {
+namespace {
+
+struct Outcome {
+  std::vector<std::string> messages;  // "METHOD TARGET BODY" or "STATUS BODY"
+  ReadState last = ReadState::kPartial;
+
+  bool operator==(const Outcome& o) const {
+    return messages == o.messages && last == o.last;
+  }
+};
+
+Outcome ReadRequests(const std::vector<std::string>& pieces,
+                     ReaderOptions options = {}) {
+  RequestReader reader(options);
+  Outcome outcome;
+  for (const std::string& piece : pieces) {
+    reader.Feed(piece);
+    while ((outcome.last = reader.Next()) == ReadState::kComplete) {
+      Request r = reader.Take();
+      outcome.messages.push_back(r.method + " " + r.target + " " + r.body);
+    }
+    if (outcome.last != ReadState::kPartial) break;
+  }
+  return outcome;
+}
+
+Outcome ReadResponses(const std::vector<std::string>& pieces) {
+  ResponseReader reader({});
+  Outcome outcome;
+  for (const std::string& piece : pieces) {
+    reader.Feed(piece);
+    while ((outcome.last = reader.Next(false)) == ReadState::kComplete) {
+      Response r = reader.Take();
+      outcome.messages.push_back(std::to_string(r.status) + " " + r.body);
+    }
+    if (outcome.last != ReadState::kPartial) break;
+  }
+  return outcome;
+}
+
+const std::string kPipelined =
+    "GET /a?x=1 HTTP/1.1\r\nHost: h\r\n\r\n"
+    "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhello"
+    "POST /c HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "3\r\nabc\r\n4;ext=1\r\ndefg\r\n0\r\nTrailer: t\r\n\r\n"
+    "GET /d HTTP/1.1\r\nHost: h\r\n\r\n";
+
+const std::string kAnswers =
+    "HTTP/1.1 100 Continue\r\n\r\n"
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+    "HTTP/1.1 204 No Content\r\n\r\n"
+    "HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n";
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(every_split_of_pipelined_requests_reads_alike) {
+  Outcome whole = ReadRequests({kPipelined});
+  std::vector<std::string> expected = {"GET /a?x=1 ", "POST /b hello",
+                                       "POST /c abcdefg", "GET /d "};
+  BOOST_TEST(whole.messages == expected);
+  for (size_t at = 0; at <= kPipelined.size(); ++at) {
+    Outcome split =
+        ReadRequests({kPipelined.substr(0, at), kPipelined.substr(at)});
+    BOOST_TEST((split == whole), "split at " << at);
+  }
+  std::vector<std::string> bytes;
+  for (char c : kPipelined) bytes.emplace_back(1, c);
+  BOOST_TEST((ReadRequests(bytes) == whole));
+}
+
+BOOST_AUTO_TEST_CASE(every_split_of_answers_reads_alike) {
+  Outcome whole = ReadResponses({kAnswers});
+  std::vector<std::string> expected = {"200 ok", "204 ", "500 x"};
+  BOOST_TEST(whole.messages == expected);
+  for (size_t at = 0; at <= kAnswers.size(); ++at) {
+    Outcome split = ReadResponses({kAnswers.substr(0, at), kAnswers.substr(at)});
+    BOOST_TEST((split == whole), "split at " << at);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ambiguous_requests_are_refused) {
+  struct Row {
+    const char* what;
+    const char* bytes;
+  };
+  const Row rows[] = {
+      {"both lengths",
+       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n"},
+      {"both lengths, other order",
+       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+       "Content-Length: 3\r\n\r\n0\r\n\r\n"},
+      {"two lengths",
+       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+       "Content-Length: 4\r\n\r\nabcd"},
+      {"negative length",
+       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n"},
+      {"length with a sign",
+       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: +3\r\n\r\nabc"},
+      {"coding that is not chunked",
+       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip\r\n\r\n"},
+      {"chunked is not last",
+       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked, x\r\n\r\n"},
+      {"coding that looks like chunked",
+       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: xchunked\r\n\r\n"},
+      {"two codings",
+       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+       "Transfer-Encoding: identity\r\n\r\n0\r\n\r\n"},
+      {"chunked in HTTP/1.0",
+       "POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "0\r\n\r\n"},
+      {"bad chunk size",
+       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+       "zz\r\nab\r\n0\r\n\r\n"},
+      {"space before the colon",
+       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length : 3\r\n\r\nabc"},
+      {"no host", "GET / HTTP/1.1\r\n\r\n"},
+      {"two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n"},
+      {"target that is no path", "GET http://h/x HTTP/1.1\r\nHost: h\r\n\r\n"},
+      {"bare line feeds", "GET / HTTP/1.1\nHost: h\n\n"},
+      {"no request line", "\x16\x03\x01 nonsense\r\n\r\n"},
+  };
+  for (const Row& row : rows) {
+    Outcome outcome = ReadRequests({row.bytes});
+    BOOST_TEST((outcome.last == ReadState::kMalformed), row.what);
+    BOOST_TEST(outcome.messages.empty(), row.what);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(limits_are_told_apart) {
+  ReaderOptions options{200, 10};
+  std::string long_header = "GET / HTTP/1.1\r\nHost: h\r\nX: " +
+                            std::string(400, 'x') + "\r\n\r\n";
+  BOOST_TEST((ReadRequests({long_header}, options).last ==
+              ReadState::kHeaderTooLarge));
+  std::string long_body =
+      "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nhello world";
+  BOOST_TEST((ReadRequests({long_body}, options).last ==
+              ReadState::kBodyTooLarge));
+  std::string long_chunks =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+      "8\r\nabcdefgh\r\n8\r\nabcdefgh\r\n0\r\n\r\n";
+  BOOST_TEST((ReadRequests({long_chunks}, options).last ==
+              ReadState::kBodyTooLarge));
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_early_is_not_complete) {
+  struct Row {
+    const char* what;
+    const char* bytes;
+    ReadState end;
+  };
+  const Row rows[] = {
+      {"short body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc",
+       ReadState::kMalformed},
+      {"short chunk",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab",
+       ReadState::kMalformed},
+      {"no last chunk",
+       "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
+       ReadState::kMalformed},
+      {"half a header", "HTTP/1.1 200 OK\r\nContent-Le",
+       ReadState::kMalformed},
+      {"no bytes", "", ReadState::kPartial},
+      {"no length: the end completes it", "HTTP/1.1 200 OK\r\n\r\nabc",
+       ReadState::kComplete},
+  };
+  for (const Row& row : rows) {
+    ResponseReader reader({});
+    reader.Feed(row.bytes);
+    BOOST_TEST((reader.Finish(false) == row.end), row.what);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_to_head_has_no_body) {
+  ResponseReader reader({});
+  reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
+  BOOST_TEST((reader.Next(true) == ReadState::kComplete));
+  BOOST_TEST(reader.Take().body.empty());
+}
+
+BOOST_AUTO_TEST_CASE(bytes_behind_an_answer_are_seen) {
+  ResponseReader reader({});
+  reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nxEXTRA");
+  BOOST_TEST((reader.Next(false) == ReadState::kComplete));
+  reader.Take();
+  BOOST_TEST(reader.in_message());
+}
+
+BOOST_AUTO_TEST_CASE(connection_fields_are_removed) {
+  Headers headers;
+  headers.Add("Connection", "keep-alive, X-Hop");
+  headers.Add("X-Hop", "1");
+  headers.Add("Transfer-Encoding", "chunked");
+  headers.Add("Content-Length", "3");
+  headers.Add("Keep-Alive", "timeout=5");
+  headers.Add("X-End", "2");
+  headers.RemoveConnectionFields();
+  BOOST_TEST(headers.fields().size() == 1U);
+  BOOST_TEST(*headers.Find("x-end") == "2");
+}
+
+}  // namespace almondwind::http
--- /dev/null
+++ b/almondwind/peers/testing/frames_test.cc
@@ -0,0 +1,99 @@
+// Frames between sidecar nodes: round trip, and what broken bytes do.
+
+#define BOOST_TEST_MODULE frames
+#include "almondwind/peers/frames.h"
+
+#include <boost/test/unit_test.hpp>
+#include <random>
+
+#include "almondwind/base/outcome.h"
+
+namespace almondwind::peers {
+namespace {
+
+const HeaderNames kNames = {"Host", "Accept"};
+
+std::vector<Frame> Samples() {
+  Call call;
+  call.id = 7;
+  call.upstream = "i-1";
+  call.route = "browse";
+  call.cls = 2;
+  call.idempotent = true;
+  call.time_left_ms = 800;
+  call.method = "GET";
+  call.target = "/a?b=c";
+  call.headers.Add("host", "h.example");
+  call.headers.Add("X-Other", "1");
+  call.body = std::string("a\0b", 3);
+  Answer answer;
+  answer.id = 7;
+  answer.status = 200;
+  answer.headers.Add("Accept", "x");
+  answer.body = std::string(1000, 'z');
+  State state;
+  state.config_version = 9;
+  state.service = "catalogue";
+  state.load.limit = 80;
+  state.demand = {{"browse", 12.5}};
+  state.costs = {{"browse", 500, 90, {{"lookup", 2}}}};
+  return {Hello{kProtocolVersion, "10.0.0.1:1", "z", 5},
+          state,
+          call,
+          Cancel{7},
+          answer,
+          Ask{1, 4},
+          Document{0, 8, "text"}};
+}
+
+std::string Payload(const Frame& frame) {
+  return Encode(frame, kNames).substr(4);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(frames_survive_the_way) {
+  for (const Frame& frame : Samples()) {
+    std::string payload = Payload(frame);
+    Frame back = Decode(payload, kNames);
+    BOOST_TEST(back.index() == frame.index());
+    BOOST_TEST(Payload(back) == payload);
+  }
+  auto call = std::get<Call>(Decode(Payload(Samples()[2]), kNames));
+  BOOST_TEST(*call.headers.Find("Host") == "h.example");
+  BOOST_TEST(*call.headers.Find("x-other") == "1");
+  BOOST_TEST(call.body.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(known_header_names_travel_as_one_byte) {
+  Call with;
+  with.headers.Add("Host", "h");
+  Call without;
+  size_t size = Payload(with).size() - Payload(without).size();
+  BOOST_TEST(size == 3U);  // number, length of the value, value
+}
+
+BOOST_AUTO_TEST_CASE(broken_bytes_are_refused_or_read_never_worse) {
+  std::mt19937_64 random(20261204);
+  for (const Frame& frame : Samples()) {
+    std::string payload = Payload(frame);
+    for (size_t cut = 0; cut < payload.size(); ++cut) {
+      BOOST_CHECK_THROW(Decode(payload.substr(0, cut), kNames), base::Error);
+    }
+    for (int i = 0; i < 2000; ++i) {
+      std::string broken = payload;
+      for (int flips = 0; flips < 3; ++flips) {
+        broken[random() % broken.size()] = static_cast<char>(random());
+      }
+      try {
+        Decode(broken, kNames);
+      } catch (const base::Error&) {
+        // the only way in which it may fail
+      }
+    }
+  }
+  BOOST_CHECK_THROW(Decode("", kNames), base::Error);
+  BOOST_CHECK_THROW(Decode("\x7f", kNames), base::Error);
+}
+
+}  // namespace almondwind::peers
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -68,8 +68,7 @@
 }  // namespace
 
 Node::Node(boost::asio::io_context& io, loop::Timers& timers,
-           const base::Clock&, const Settings& settings,
-           Environment environment, uint64_t incarnation, EventLog& log)
+           const Settings& settings, Environment environment, uint64_t incarnation, EventLog& log)
     : timers_(timers),
       settings_(settings),
       environment_(environment),
@@ -120,6 +119,10 @@
   return up * 2 >= peers.size();
 }
 
+uint64_t Node::config_version() const {
+  return table_ == nullptr ? 0 : table_->version();
+}
+
 // ---- What the platform publishes.
 
 void Node::OnConfig(const std::string& document) {
@@ -134,7 +137,7 @@
     log_.Write("config_refused", {{"source", source}, {"why", e.what()}});
     return;
   }
-  uint64_t have = table_ == nullptr ? 0 : table_->version();
+  uint64_t have = config_version();
   if (table->version() <= have) return;
   table_ = table;
   config_document_ = document;
@@ -245,7 +248,7 @@
 
 peers::State Node::Report(const std::string&) {
   peers::State state;
-  state.config_version = table_ == nullptr ? 0 : table_->version();
+  state.config_version = config_version();
   state.fleet_revision = view_.revision();
   state.leaving = stopping_;
   state.service = settings_.service;
@@ -262,7 +265,7 @@
 
 void Node::AskIfBehind(peers::Link& link, const peers::State& state) {
   Millis now = timers_.Now();
-  uint64_t config = table_ == nullptr ? 0 : table_->version();
+  uint64_t config = config_version();
   bool old_config = state.config_version > config;
   bool old_fleet = state.fleet_revision > view_.revision();
   if (!old_config && !old_fleet) {
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -42,8 +42,7 @@
 class Node : public FeedEvents, public peers::MeshEvents {
  public:
   Node(boost::asio::io_context& io, loop::Timers& timers,
-       const base::Clock& clock, const Settings& settings,
-       Environment environment, uint64_t incarnation, EventLog& log);
+       const Settings& settings, Environment environment, uint64_t incarnation, EventLog& log);
   ~Node() override;
 
   void Start();
@@ -54,6 +53,8 @@
   void Reload();
 
   bool ready() const;
+  uint64_t config_version() const;
+  size_t peers_up() const { return mesh_.links().size(); }
 
   void OnConfig(const std::string& document) override;
   void OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
--- a/almondwind/sidecar/process.cc
+++ b/almondwind/sidecar/process.cc
@@ -21,7 +21,7 @@
   std::signal(SIGPIPE, SIG_IGN);
   EventLog log({settings.node}, clock);
   base::SystemEntropy entropy;
-  Node node(io, timers, clock, settings, environment, entropy.Next(), log);
+  Node node(io, timers, settings, environment, entropy.Next(), log);
   int code = 0;
   loop::Timer end(timers);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT, SIGHUP);
--- /dev/null
+++ b/almondwind/sidecar/testing/path_test.cc
@@ -0,0 +1,300 @@
+// A request's way through sidecar nodes over sockets, and where it breaks.
+
+#define BOOST_TEST_MODULE sidecar_path
+#include <boost/test/unit_test.hpp>
+
+#include "almondwind/sidecar/testing/world.h"
+
+namespace almondwind::sidecar::testing {
+namespace {
+
+using base::Millis;
+
+const char* const kSafe = "1 s 1000 safe 2";
+const char* const kUnsafe = "1 s 1000 unsafe 2";
+
+std::string Good(const std::string& body) {
+  return "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+// A world of one node that is ready.
+struct One : World {
+  explicit One(int port, const std::string& document = kSafe)
+      : World(1, port) {
+    Publish(0, document);
+  }
+  TestUpstream& upstream() { return *upstreams[0]; }
+  // Sends and waits for `count` answers.
+  std::vector<http::Response> Ask(const std::string& bytes, size_t count = 1) {
+    auto caller = Call(0);
+    caller->Send(bytes);
+    Until([&] { return caller->answers.size() >= count || caller->ended; });
+    return caller->answers;
+  }
+};
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(a_request_reaches_the_upstream_and_its_answer_returns) {
+  One world(21000);
+  auto answers = world.Ask(Post("a", "order"));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST(answers[0].status == 200);
+  BOOST_TEST(answers[0].body == "ok");
+  BOOST_REQUIRE(world.upstream().seen.size() == 1U);
+  const http::Request& seen = world.upstream().seen[0];
+  BOOST_TEST(seen.method == "POST");
+  BOOST_TEST(seen.target == "/x");
+  BOOST_TEST(seen.body == "order");
+  BOOST_TEST(*seen.headers.Find("Id") == "a");
+  BOOST_TEST(*seen.headers.Find("Upstream") == "u0");
+  BOOST_TEST(*seen.headers.Find("From") == "s");
+  BOOST_TEST(std::stoi(*seen.headers.Find("Patience")) <= 1000);
+}
+
+BOOST_AUTO_TEST_CASE(pipelined_requests_are_answered_in_order) {
+  One world(21020);
+  world.upstream().acts = {{Good("slow"), false, 200}, {Good("fast"), false, 0}};
+  auto answers = world.Ask(Get("a") + Get("b") + Get("c"), 3);
+  BOOST_REQUIRE(answers.size() == 3U);
+  BOOST_TEST(*answers[0].headers.Find("Id") == "a");
+  BOOST_TEST(answers[0].body == "slow");
+  BOOST_TEST(*answers[1].headers.Find("Id") == "b");
+  BOOST_TEST(*answers[2].headers.Find("Id") == "c");
+}
+
+BOOST_AUTO_TEST_CASE(without_a_configuration_the_answer_is_not_run) {
+  World world(1, 21040);
+  auto caller = world.Call(0);
+  caller->Send(Get("a"));
+  BOOST_TEST(world.Until([&] { return !caller->answers.empty(); }));
+  BOOST_TEST(caller->answers[0].status == 503);
+  BOOST_TEST(caller->answers[0].headers.Find("Retry-After") != nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(a_host_without_a_route_is_not_found) {
+  One world(21060);
+  auto answers = world.Ask("GET / HTTP/1.1\r\nHost: other\r\nId: a\r\n\r\n");
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST(answers[0].status == 404);
+}
+
+// What an upstream does wrong, and what the caller of an order is told. In no
+// case does the order run twice.
+BOOST_AUTO_TEST_CASE(an_order_runs_once_whatever_the_upstream_does) {
+  struct Row {
+    const char* what;
+    Act act;
+    int status;
+  };
+  const Row rows[] = {
+      {"closes without an answer", {"", true, 0}, 502},
+      {"breaks off its answer",
+       {"HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 9\r\n\r\nab",
+        true, 0},
+       502},
+      {"sends no answer in the protocol", {"nonsense\r\n\r\n", true, 0}, 502},
+      {"answers without a seal",
+       {"HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 2\r\n\r\nok", false, 0},
+       502},
+      {"refuses unrun",
+       {"HTTP/1.1 503 No\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        false, 0},
+       503},
+      {"fails", {"HTTP/1.1 500 No\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
+                 false, 0},
+       500},
+      {"is silent", {Good("late"), false, 3000}, 504},
+  };
+  int port = 21100;
+  for (const Row& row : rows) {
+    One world(port, kUnsafe);
+    port += 20;
+    world.upstream().acts = {row.act};
+    auto answers = world.Ask(Post("a", "order"));
+    BOOST_REQUIRE_MESSAGE(answers.size() == 1U, row.what);
+    BOOST_TEST(answers[0].status == row.status, row.what);
+    BOOST_TEST(world.upstream().seen.size() == 1U, row.what);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_late_answer_to_another_request_is_skipped) {
+  One world(21260);
+  world.upstream().acts = {
+      {Good("first") +
+           "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nContent-Length: 5\r\n\r\n"
+           "stale",
+       false, 0},
+      {Good("second"), false, 50}};
+  auto answers = world.Ask(Get("a"));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST(answers[0].body == "first");
+  answers = world.Ask(Get("b"));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST(answers[0].body == "second");
+  BOOST_TEST(world.upstream().opened == 2);  // the first is not used again
+}
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_ends_the_run) {
+  One world(21280);
+  world.upstream().acts = {{Good("late"), false, 3000}};
+  auto caller = world.Call(0);
+  caller->Send(Get("a"));
+  BOOST_TEST(world.Until([&] { return !world.upstream().seen.empty(); }));
+  caller->Close();
+  BOOST_TEST(world.Until([&] { return world.upstream().broken_off == 1; },
+                         Millis(500)));
+}
+
+BOOST_AUTO_TEST_CASE(the_routes_timeout_is_kept) {
+  One world(21300, "1 s 200 safe 1");
+  world.upstream().acts = {{Good("late"), false, 3000}};
+  Millis began = world.clock.Now();
+  auto answers = world.Ask(Get("a"));
+  BOOST_REQUIRE(answers.size() == 1U);
+  BOOST_TEST(answers[0].status == 504);
+  BOOST_TEST((world.clock.Now() - began).count() < 1000);
+}
+
+// Four slots, and requests that would have to wait longer than they may: the
+// refusal is a proof that nothing ran, and says when to come back.
+BOOST_AUTO_TEST_CASE(what_finds_no_slot_is_refused_unrun) {
+  One world(21320, "1 s 600 safe 1");
+  world.upstream().acts = {{Good("x"), false, 400}};
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < 10; ++i) {
+    callers.push_back(world.Call(0));
+    callers.back()->Send(Get("r" + std::to_string(i)));
+  }
+  BOOST_TEST(world.Until([&] {
+    for (auto& caller : callers) {
+      if (caller->answers.empty()) return false;
+    }
+    return true;
+  }));
+  size_t refused = 0;
+  size_t served = 0;
+  for (auto& caller : callers) {
+    const http::Response& answer = caller->answers[0];
+    served += answer.status == 200 ? 1 : 0;
+    if (answer.status != 503) continue;
+    ++refused;
+    BOOST_TEST(answer.headers.Find("Retry-After") != nullptr);
+  }
+  BOOST_TEST(served == world.upstream().seen.size());
+  BOOST_TEST(served >= 4U);
+  BOOST_TEST(refused == 10 - served);
+}
+
+BOOST_AUTO_TEST_CASE(bad_input_is_answered_and_closed) {
+  struct Row {
+    const char* bytes;
+    int status;
+  };
+  const Row rows[] = {
+      {"nonsense\r\n\r\n", 400},
+      {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+       "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+       400},
+  };
+  One world(21340);
+  for (const Row& row : rows) {
+    auto caller = world.Call(0);
+    caller->Send(row.bytes);
+    BOOST_TEST(world.Until([&] { return caller->ended; }));
+    BOOST_REQUIRE(caller->answers.size() == 1U);
+    BOOST_TEST(caller->answers[0].status == row.status);
+  }
+  BOOST_TEST(world.upstream().seen.empty());
+}
+
+// ---- Several nodes.
+
+// The store turns node 2 away: it becomes whole from its peers alone.
+BOOST_AUTO_TEST_CASE(a_node_that_the_store_refuses_is_made_whole_by_peers) {
+  World world(3, 21400);
+  world.Publish(0, kSafe);
+  world.Publish(1, kSafe);
+  BOOST_TEST(world.Until([&] { return world.nodes[2]->ready(); }));
+  auto caller = world.Call(2);
+  caller->Send(Get("a"));
+  BOOST_TEST(world.Until([&] { return !caller->answers.empty(); }));
+  BOOST_TEST(caller->answers[0].status == 200);
+  // A newer configuration comes the same way; an older one does not undo it.
+  world.feeds[0]->events->OnConfig("7 s 900 safe 2");
+  BOOST_TEST(world.Until([&] {
+    return world.nodes[2]->config_version() == 7U;
+  }));
+  world.feeds[2]->events->OnConfig("3 s 900 safe 2");
+  BOOST_TEST(world.nodes[2]->config_version() == 7U);
+}
+
+// The node whose upstream closes without an answer: a repeatable request is
+// sent once more, to the other; an order is not.
+BOOST_AUTO_TEST_CASE(only_repeatable_requests_are_sent_again) {
+  for (bool safe : {true, false}) {
+    World world(2, safe ? 21440 : 21480);
+    for (int i = 0; i < 2; ++i) world.Publish(i, safe ? kSafe : kUnsafe);
+    BOOST_TEST(world.Until([&] { return world.nodes[0]->peers_up() == 1; }));
+    for (auto& upstream : world.upstreams) upstream->acts = {{"", true, 0}};
+    auto caller = world.Call(0);
+    caller->Send(Get("a"));
+    BOOST_TEST(world.Until([&] { return !caller->answers.empty(); }));
+    BOOST_TEST(caller->answers[0].status == 502);
+    size_t arrivals =
+        world.upstreams[0]->seen.size() + world.upstreams[1]->seen.size();
+    BOOST_TEST(arrivals == (safe ? 2U : 1U));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(an_upstream_that_drains_gets_no_new_requests) {
+  World world(2, 21520);
+  for (int i = 0; i < 2; ++i) world.Publish(i, kSafe);
+  BOOST_TEST(world.Until([&] { return world.nodes[0]->peers_up() == 1; }));
+  fleet::Upstream leaving = world.List()[0];
+  leaving.draining = true;
+  leaving.revision = 3;
+  // Only the leaving upstream's own node has heard of it.
+  world.feeds[0]->events->OnUpstream(leaving);
+  auto caller = world.Call(1);
+  for (int i = 0; i < 20; ++i) caller->Send(Get("r" + std::to_string(i)));
+  BOOST_TEST(world.Until([&] { return caller->answers.size() >= 20; }));
+  for (const http::Response& answer : caller->answers) {
+    BOOST_TEST(answer.status == 200);
+  }
+  BOOST_TEST(world.upstreams[0]->seen.empty());
+}
+
+// A planned stop while requests run and connections stay in use: every request
+// that was read is answered, and the last answers say that the connection
+// closes.
+BOOST_AUTO_TEST_CASE(a_planned_stop_cuts_nothing) {
+  World world(2, 21560);
+  for (int i = 0; i < 2; ++i) world.Publish(i, kSafe);
+  BOOST_TEST(world.Until([&] { return world.nodes[0]->peers_up() == 1; }));
+  for (auto& upstream : world.upstreams) {
+    upstream->acts = {{Good("x"), false, 300}};
+  }
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < 3; ++i) {
+    callers.push_back(world.Call(0));
+    callers.back()->Send(Get("r" + std::to_string(i)));
+  }
+  world.Run(Millis(100));
+  int code = -1;
+  world.nodes[0]->Stop([&](bool whole) { code = whole ? 1 : 0; });
+  BOOST_TEST(!world.nodes[0]->ready());
+  auto late = world.Call(0);  // a caller that has not heard of it
+  late->Send(Get("late"));
+  BOOST_TEST(world.Until([&] { return code >= 0; }, Millis(6000)));
+  BOOST_TEST(code == 1);
+  callers.push_back(std::move(late));
+  for (auto& caller : callers) {
+    BOOST_REQUIRE(caller->answers.size() == 1U);
+    BOOST_TEST(caller->answers[0].status == 200);
+    BOOST_TEST(!caller->answers[0].keep_alive);
+  }
+}
+
+}  // namespace almondwind::sidecar::testing
--- /dev/null
+++ b/almondwind/sidecar/testing/world.cc
@@ -0,0 +1,243 @@
+#include "almondwind/sidecar/testing/world.h"
+
+#include <sstream>
+#include <utility>
+
+#include "almondwind/loop/endpoint.h"
+
+namespace almondwind::sidecar::testing {
+
+using base::Millis;
+
+CallerTerms TestDialect::ReadCaller(const http::Headers& headers) const {
+  CallerTerms terms;
+  if (const std::string* id = headers.Find("Id")) terms.request_id = *id;
+  if (const std::string* patience = headers.Find("Patience")) {
+    terms.patience = Millis(std::stoi(*patience));
+  }
+  return terms;
+}
+
+void TestDialect::RemoveSystemFields(http::Headers& headers) const {
+  for (const char* name : {"Patience", "Upstream", "From"}) {
+    headers.Remove(name);
+  }
+}
+
+void TestDialect::WriteUpstream(const UpstreamTerms& terms,
+                                http::Headers& headers) const {
+  headers.Add("Patience", std::to_string(terms.time_left.count()));
+  headers.Add("Upstream", terms.upstream);
+  headers.Add("From", terms.caller_service);
+}
+
+AnswerMarks TestDialect::ReadAnswer(const http::Response& response) const {
+  AnswerMarks marks;
+  if (const std::string* id = response.headers.Find("Id")) {
+    marks.request_id = *id;
+  }
+  marks.sealed = response.headers.Find("Seal") != nullptr;
+  marks.not_run = response.headers.Find("Not-Run") != nullptr;
+  return marks;
+}
+
+void TestDialect::WriteRetryAfter(Millis delay, http::Headers& headers) const {
+  headers.Add("Retry-After", std::to_string(delay.count()));
+}
+
+routes::RouteTablePtr TestConfig::Parse(const std::string& document) const {
+  std::istringstream in(document);
+  uint64_t version = 0;
+  int64_t timeout_ms = 0;
+  std::string kind;
+  routes::Route route;
+  routes::Part part;
+  in >> version >> part.service >> timeout_ms >> kind >> route.max_attempts;
+  if (!in) throw base::Error(base::Reason::kMalformed, "no test document");
+  route.name = "all";
+  route.host = "h";
+  route.prefix = "/";
+  route.timeout = Millis(timeout_ms);
+  route.target_latency = Millis(timeout_ms);
+  route.idempotent = kind == "safe";
+  route.parts = {part};
+  return routes::RouteTable::Build(version, {route}, {{part.service, "", 0}},
+                                   {});
+}
+
+// ---- Upstream.
+
+class TestUpstream::Connection : public loop::StreamEvents {
+ public:
+  Connection(TestUpstream& upstream, boost::asio::ip::tcp::socket socket)
+      : upstream_(upstream), reader_({}), delay_(upstream.timers_) {
+    ++upstream_.opened;
+    stream_ = loop::Stream::Adopt(upstream.timers_, std::move(socket), {},
+                                  *this);
+  }
+  Connection(const Connection&) = delete;
+  Connection& operator=(const Connection&) = delete;
+  ~Connection() override { stream_->Close(); }
+
+  void OnData(std::string_view data) override {
+    reader_.Feed(data);
+    if (reader_.Next() != http::ReadState::kComplete) return;
+    http::Request request = reader_.Take();
+    const std::string* id = request.headers.Find("Id");
+    std::string name = id == nullptr ? "" : *id;
+    upstream_.seen.push_back(std::move(request));
+    Act act = upstream_.acts.front();
+    if (upstream_.acts.size() > 1) upstream_.acts.pop_front();
+    size_t at = act.answer.find("{id}");
+    if (at != std::string::npos) act.answer.replace(at, 4, name);
+    running_ = true;
+    delay_.Start(Millis(act.delay_ms), [this, act] {
+      running_ = false;
+      stream_->Write(act.answer);
+      if (act.close) stream_->CloseAfterWrites();
+    });
+  }
+
+  void OnEnd(loop::StreamEnd) override {
+    if (running_) ++upstream_.broken_off;
+    delay_.Stop();
+    upstream_.connections_.erase(this);
+  }
+
+ private:
+  TestUpstream& upstream_;
+  loop::StreamPtr stream_;
+  http::RequestReader reader_;
+  loop::Timer delay_;
+  bool running_ = false;
+};
+
+TestUpstream::TestUpstream(boost::asio::io_context& io, loop::Timers& timers,
+                           const std::string& address)
+    : timers_(timers),
+      address_(address),
+      acceptor_(io, timers, address_,
+                [this](boost::asio::ip::tcp::socket socket) {
+                  auto owned =
+                      std::make_unique<Connection>(*this, std::move(socket));
+                  Connection* connection = owned.get();
+                  connections_[connection] = std::move(owned);
+                }) {}
+
+TestUpstream::~TestUpstream() = default;
+
+// ---- Caller.
+
+TestCaller::TestCaller(boost::asio::io_context& io, loop::Timers& timers,
+                       const std::string& address)
+    : reader_({}) {
+  stream_ = loop::Stream::Dial(io, timers, loop::ParseEndpoint(address), {},
+                               *this);
+}
+
+TestCaller::~TestCaller() { stream_->Close(); }
+
+void TestCaller::OnData(std::string_view data) {
+  reader_.Feed(data);
+  while (reader_.Next(false) == http::ReadState::kComplete) {
+    answers.push_back(reader_.Take());
+  }
+}
+
+// ---- World.
+
+namespace {
+// Each host of the world has its own address of the loopback network: the
+// address of an upstream names the host on which its node accepts links.
+std::string Ip(int i) { return "127.0.0." + std::to_string(i + 1); }
+}  // namespace
+
+World::World(int count, int first_port, int zones)
+    : log({"test", 0}, clock) {
+  for (int i = 0; i < count; ++i) {
+    int base = first_port + 10 * i;
+    upstreams.push_back(std::make_unique<TestUpstream>(
+        io, timers, Ip(i) + ":" + std::to_string(base)));
+    upstreams.back()->acts = {
+        {"HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok",
+         false, 0}};
+    auto source = std::make_unique<TestSettings>();
+    Settings& s = source->settings;
+    s.node = "n" + std::to_string(i);
+    s.zone = "z" + std::to_string(i % zones);
+    s.region = "r";
+    s.service = "s";
+    s.upstream = upstreams.back()->address();
+    s.callers = "127.0.0.1:" + std::to_string(base + 1);
+    s.ready = "127.0.0.1:" + std::to_string(base + 2);
+    s.peer_port = static_cast<uint16_t>(first_port + 9);
+    s.links = Ip(i) + ":" + std::to_string(s.peer_port);
+    s.max_descriptors = 256;
+    s.stop_grace = Millis(6000);
+    feeds.push_back(std::make_unique<TestFeed>());
+    Environment environment{*source, dialect, config, *feeds.back()};
+    nodes.push_back(std::make_unique<Node>(
+        io, timers, s, environment, static_cast<uint64_t>(100 + i), log));
+    settings.push_back(std::move(source));
+    nodes.back()->Start();
+  }
+}
+
+World::~World() = default;
+
+bool World::Until(const std::function<bool()>& done, Millis limit) {
+  Millis end = clock.Now() + limit;
+  while (!done()) {
+    if (clock.Now() >= end) return false;
+    io.run_one_for(std::chrono::milliseconds(20));
+    io.restart();
+  }
+  return true;
+}
+
+void World::Run(Millis span) {
+  Until([] { return false; }, span);
+}
+
+std::vector<fleet::Upstream> World::List() const {
+  std::vector<fleet::Upstream> list;
+  for (size_t i = 0; i < nodes.size(); ++i) {
+    const Settings& s = settings[i]->settings;
+    fleet::Upstream upstream;
+    upstream.id = "u" + std::to_string(i);
+    upstream.service = s.service;
+    upstream.address = s.upstream;
+    upstream.zone = s.zone;
+    upstream.slots = 4;
+    upstream.revision = 2;
+    list.push_back(upstream);
+  }
+  return list;
+}
+
+void World::Publish(int i, const std::string& document) {
+  FeedEvents* events = feeds[static_cast<size_t>(i)]->events;
+  events->OnConfig(document);
+  events->OnUpstreams(List(), 2);
+}
+
+std::string World::callers(int i) const {
+  return settings[static_cast<size_t>(i)]->settings.callers;
+}
+
+std::unique_ptr<TestCaller> World::Call(int node) {
+  return std::make_unique<TestCaller>(io, timers, callers(node));
+}
+
+std::string Get(const std::string& id, int patience_ms) {
+  return "GET /x HTTP/1.1\r\nHost: h\r\nId: " + id +
+         "\r\nPatience: " + std::to_string(patience_ms) + "\r\n\r\n";
+}
+
+std::string Post(const std::string& id, const std::string& body) {
+  return "POST /x HTTP/1.1\r\nHost: h\r\nId: " + id +
+         "\r\nPatience: 2000\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+}  // namespace almondwind::sidecar::testing
