Use only the latest upstream of an address; keep the gate's limit at its slots

Cause: after all servers had lost power their old entries outlived them, calls to these were answered 421, and the limiter took that for shedding and cut the slots to a few; nothing was served for ten seconds. Ruled out: slow start of nodes (config and links stand 30 ms after the start).

--- a/almondwind/fleet/testing/view_test.cc
+++ b/almondwind/fleet/testing/view_test.cc
@@ -83,6 +83,8 @@
   view.Replace({old, fresh}, 3, Millis(1000));
   BOOST_TEST(view.AtAddress("10.0.0.1:80")->id == "new");
   BOOST_TEST(view.AtAddress("10.0.0.2:80") == nullptr);
+  BOOST_TEST(view.Current().size() == 1U);
+  BOOST_TEST(view.Current()[0]->id == "new");
 }
 
 BOOST_AUTO_TEST_CASE(a_list_survives_the_way_to_a_peer) {
--- a/almondwind/fleet/view.cc
+++ b/almondwind/fleet/view.cc
@@ -109,6 +109,19 @@
   return found;
 }
 
+std::vector<const Upstream*> View::Current() const {
+  std::map<std::string_view, const Upstream*> by_address;
+  for (const auto& [id, upstream] : upstreams_) {
+    const Upstream*& latest = by_address[upstream.address];
+    if (latest == nullptr || upstream.started_at > latest->started_at) {
+      latest = &upstream;
+    }
+  }
+  std::vector<const Upstream*> out;
+  for (const auto& [address, upstream] : by_address) out.push_back(upstream);
+  return out;
+}
+
 std::vector<Upstream> View::List() const {
   std::vector<Upstream> out;
   for (const auto& [id, upstream] : upstreams_) {
--- a/almondwind/fleet/view.h
+++ b/almondwind/fleet/view.h
@@ -77,6 +77,9 @@
   const std::map<std::string, Upstream>& upstreams() const {
     return upstreams_;
   }
+  // Upstreams that can be there: of several at one address only the one that
+  // started last, since the others' entries outlive them for some heartbeats.
+  std::vector<const Upstream*> Current() const;
   std::vector<Upstream> List() const;
   // Store revision up to which the view is complete; 0: nothing is known.
   uint64_t revision() const { return revision_; }
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -178,7 +178,7 @@
   bool completed = answer.status / 100 == 2;
   observer_.OnRunEnded(exchange, completed, now - run->started);
   machines::RunEnd end;
-  end.shed = marks.not_run;
+  end.shed = marks.not_run && !marks.other_upstream;
   gate_->End(*run, end, now);
   Answer(exchange, std::move(answer));
 }
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -47,6 +47,11 @@
 struct GateServerOptions {
   machines::GateOptions gate = [] {
     machines::GateOptions o;
+    // The gate is the only way to its upstream and keeps to the published
+    // slots, so a refusal by the upstream is a fault of its own and not a sign
+    // of too many requests; a cold one is slow, and needs its slots more.
+    o.limiter = "fixed";
+    o.ramp_start_percent = 100;
     o.evict = false;
     return o;
   }();
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -195,17 +195,17 @@
   for (const auto& [name, machine] : dispatcher_.directory().machines()) {
     by_service[machine->entry().service];  // emptied if nothing is left
   }
-  for (const auto& [id, upstream] : view_.upstreams()) {
+  for (const fleet::Upstream* upstream : view_.Current()) {
     zones::HostEntry entry;
-    entry.name = id;
-    entry.service = upstream.service;
-    entry.zone = upstream.zone;
+    entry.name = upstream->id;
+    entry.service = upstream->service;
+    entry.zone = upstream->zone;
     entry.region = settings_.region;
-    entry.leaving = upstream.draining;
-    std::string ip = upstream.address.substr(0, upstream.address.rfind(':'));
+    entry.leaving = upstream->draining;
+    std::string ip = upstream->address.substr(0, upstream->address.rfind(':'));
     entry.link = ip + ":" + std::to_string(settings_.peer_port);
     links.insert(entry.link);
-    by_service[upstream.service].push_back(std::move(entry));
+    by_service[upstream->service].push_back(std::move(entry));
   }
   for (auto& [service, hosts] : by_service) {
     dispatcher_.directory().Update(service, std::move(hosts));
