--- a/almondwind/graph/run_tracker.cc
+++ b/almondwind/graph/run_tracker.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <cstdlib>
 
 namespace almondwind::graph {
 
@@ -12,6 +11,9 @@
 
 // Time over which runs a second are counted.
 constexpr double kRateWindowMs = 2000;
+// How much more likely a run with the call's own deadline is its parent than
+// another run of the same route.
+constexpr double kExactWeight = 20;
 // The mean is taken over the first runs, then smoothed.
 double Weight(double smoothing, int samples) {
   return std::max(smoothing, 1.0 / samples);
@@ -20,7 +22,8 @@
 }  // namespace
 
 void RunTracker::Start(uint64_t run, const std::string& route,
-                       base::RequestClass cls, Millis deadline) {
+                       base::RequestClass cls, Millis deadline, Millis now) {
+  rates_.Start(route, now);
   runs_[run] = {route, cls, deadline, {}};
   by_deadline_.emplace(deadline.count(), run);
 }
@@ -35,6 +38,7 @@
   if (it == runs_.end()) return;
   Run ended = std::move(it->second);
   runs_.erase(it);
+  rates_.End(ended.route, now);
   auto range = by_deadline_.equal_range(ended.deadline.count());
   for (auto d = range.first; d != range.second; ++d) {
     if (d->second != run) continue;
@@ -50,47 +54,47 @@
   double weight = Weight(options_.smoothing, stats.samples);
   stats.slot_ms +=
       weight * (static_cast<double>(took.count()) - stats.slot_ms);
-  for (const auto& [callee, count] : ended.calls) stats.calls[callee];
-  for (auto& [callee, mean] : stats.calls) {
-    auto found = ended.calls.find(callee);
-    double count = found == ended.calls.end() ? 0 : found->second;
-    mean += weight * (count - mean);
-  }
 }
 
-std::unordered_map<uint64_t, RunTracker::Run>::iterator RunTracker::Nearest(
-    Millis deadline) {
+Match RunTracker::Find(const std::string& route, Millis deadline) const {
   // A request is read later than it was sent, never earlier, so the deadline
   // computed from it errs to the late side.
-  auto low = by_deadline_.lower_bound((deadline - options_.late).count());
-  auto best = runs_.end();
-  int64_t best_distance = 0;
-  for (; low != by_deadline_.end() &&
-         low->first <= (deadline + options_.early).count();
-       ++low) {
-    int64_t distance = std::abs(low->first - deadline.count());
-    if (best != runs_.end() && distance >= best_distance) continue;
-    best = runs_.find(low->second);
-    best_distance = distance;
+  int64_t exact_until = (deadline + options_.early).count();
+  Match match;
+  const Run* best = nullptr;
+  double best_weight = 0;
+  int best_calls = 0;
+  for (auto it =
+           by_deadline_.lower_bound((deadline - options_.late).count());
+       it != by_deadline_.end(); ++it) {
+    const Run& run = runs_.at(it->second);
+    double weight = rates_.PerMs(run.route, route);
+    if (it->first <= exact_until) weight *= kExactWeight;
+    auto made = run.calls.find(route);
+    int calls = made == run.calls.end() ? 0 : made->second;
+    bool better = best == nullptr || weight > best_weight ||
+                  (weight == best_weight && calls < best_calls);
+    if (!better) continue;
+    best = &run;
+    match.run = it->second;
+    best_weight = weight;
+    best_calls = calls;
   }
-  return best;
+  if (best == nullptr) return match;
+  match.orphan = false;
+  match.cls = best->cls;
+  return match;
 }
 
-std::optional<Parent> RunTracker::Match(const std::string& route,
-                                        Millis deadline) {
-  auto run = Nearest(deadline);
-  if (agreement_.size() >= kMaxRoutes && agreement_.count(route) == 0) {
-    return std::nullopt;
-  }
-  double& share = agreement_[route].share;
-  bool agrees = run != runs_.end();
-  share += options_.smoothing * ((agrees ? 1.0 : 0.0) - share);
-  if (!agrees || share < options_.called_share) return std::nullopt;
-  ++run->second.calls[route];
-  return Parent{run->first, run->second.cls};
+void RunTracker::Count(const Match& match, const std::string& route,
+                       Millis now) {
+  rates_.Call(route, now);
+  auto it = runs_.find(match.run);
+  if (it != runs_.end()) ++it->second.calls[route];
 }
 
-std::vector<peers::RouteCost> RunTracker::Costs(Millis now) const {
+std::vector<peers::RouteCost> RunTracker::Costs(Millis now) {
+  rates_.Solve(now);
   // Rarer routes weigh nothing in anybody's plan.
   constexpr double kMinRuns = 0.5;
   constexpr double kMinCalls = 0.02;
@@ -102,8 +106,12 @@
     cost.route = route;
     cost.slot_ms = stats.slot_ms;
     cost.runs_per_s = runs * 1000 / kRateWindowMs;
-    for (const auto& [callee, mean] : stats.calls) {
-      if (mean >= kMinCalls) cost.calls.emplace_back(callee, mean);
+    auto called = rates_.rates().find(route);
+    if (called != rates_.rates().end()) {
+      for (const auto& [callee, per_ms] : called->second) {
+        double calls = per_ms * stats.slot_ms;
+        if (calls >= kMinCalls) cost.calls.emplace_back(callee, calls);
+      }
     }
     out.push_back(std::move(cost));
   }
--- a/almondwind/loop/timers.h
+++ b/almondwind/loop/timers.h
@@ -57,6 +57,7 @@
   ~Timers() { queue_.clear(); }
 
   base::Millis Now() const { return clock_.Now(); }
+  const base::Clock& clock() const { return clock_; }
 
  private:
   friend class Timer;
--- a/almondwind/peers/frames.cc
+++ b/almondwind/peers/frames.cc
@@ -60,6 +60,10 @@
   f(m.route, m.slot_ms, m.runs_per_s, m.calls);
 }
 template <typename F>
+void Fields(F& f, RouteDemand& m) {
+  f(m.route, m.per_s, m.seen, m.orphans);
+}
+template <typename F>
 void Fields(F& f, links::Load& m) {
   f(m.in_progress, m.limit, m.service_ms, m.wait_ms, m.retry_after_ms,
     m.leaving);
@@ -92,6 +96,10 @@
   f(m.kind, m.version, m.text);
 }
 
+template <typename T>
+constexpr bool kIsRows = std::is_same_v<T, std::vector<RouteCost>> ||
+                         std::is_same_v<T, std::vector<RouteDemand>>;
+
 struct Packer {
   msgpack::packer<msgpack::sbuffer>& out;
   const HeaderNames& names;
@@ -107,9 +115,9 @@
       WireHeaders{field, names}.Pack(out);
     } else if constexpr (std::is_same_v<T, links::Load>) {
       Fields(*this, field);
-    } else if constexpr (std::is_same_v<T, std::vector<RouteCost>>) {
+    } else if constexpr (kIsRows<T>) {
       out.pack_array(static_cast<uint32_t>(field.size()));
-      for (RouteCost& cost : field) Fields(*this, cost);
+      for (auto& row : field) Fields(*this, row);
     } else {
       out.pack(field);
     }
@@ -136,7 +144,7 @@
     } else if constexpr (std::is_same_v<T, links::Load>) {
       Unpacker inner{object, names};
       Fields(inner, field);
-    } else if constexpr (std::is_same_v<T, std::vector<RouteCost>>) {
+    } else if constexpr (kIsRows<T>) {
       for (const auto& item : object.as<std::vector<msgpack::object>>()) {
         Unpacker inner{item, names};
         Fields(inner, field.emplace_back());
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -54,6 +54,16 @@
   std::vector<std::pair<std::string, double>> calls;
 };
 
+// Requests of one route that came to the sender from its host.
+struct RouteDemand {
+  std::string route;
+  double per_s = 0;
+  // Over a longer time: all, and those that no run in progress on the host can
+  // have made.
+  double seen = 0;
+  double orphans = 0;
+};
+
 // What a node tells its peers of itself, a few times a second. It also shows
 // that the link is alive.
 struct State {
@@ -62,8 +72,7 @@
   bool leaving = false;
   std::string service;  // of the upstream beside the sender
   links::Load load;
-  // Callers' requests a second that came to the sender, by route.
-  std::vector<std::pair<std::string, double>> demand;
+  std::vector<RouteDemand> demand;
   std::vector<RouteCost> costs;
 };
 
--- a/almondwind/routes/retry_budget.h
+++ b/almondwind/routes/retry_budget.h
@@ -32,7 +32,7 @@
   double ratio = 0.2;         // of the requests in a window
   base::Millis window{10'000};
   double slack = 50;          // requests a window, of all nodes together
-  double safety = 0.6;        // share of its part that a node spends
+  double safety = 0.8;        // share of its part that a node spends
 };
 
 class RetryBudget {
--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -230,15 +230,18 @@
   call.leg = 0;
   auto outcome = static_cast<Outcome>(answer.outcome);
   auto reason = static_cast<Reason>(answer.reason);
-  // A gate that refuses for load works; one whose upstream is out of order
-  // does not, however idle it looks.
+  // A gate that refuses for load works; one whose upstream cannot be reached
+  // does not, however idle it looks. An upstream that fails some runs is not
+  // out of order: often a service below it is the cause.
   bool working = reason != Reason::kUpstreamUnreachable &&
-                 reason != Reason::kUpstreamClosed &&
-                 reason != Reason::kUpstreamShed && reason != Reason::kNoHost &&
-                 (answer.status < 500 || outcome != Outcome::kAnswered);
+                 reason != Reason::kNoHost;
   call.machine->OnAnswer(answer.load, working, timers_.Now(), options_.eject,
                          Jitter());
-  if (answer.arrived) ++call.arrivals;
+  if (answer.arrived) {
+    ++call.arrivals;
+    call.machine->OnOutcome(outcome == Outcome::kAnswered &&
+                            answer.status < 500);
+  }
   if (outcome == Outcome::kNotRun) return OnNotRun(call, answer);
   if (outcome == Outcome::kUnknown) return OnUnknown(call, reason);
   if (answer.status >= 500 && call.route->idempotent && MayRepeat(call)) {
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -75,7 +75,7 @@
       log_(log),
       started_(timers.Now()),
       view_(fleet::ViewOptions()),
-      traffic_(TrafficOptions()),
+      traffic_(TrafficOptions(), timers.clock()),
       gate_(timers, environment.dialect, GateServerOptions(), log, traffic_),
       pool_(io, timers, environment.dialect, PoolOptionsFrom(settings), gate_),
       dispatcher_(timers, environment.dialect, DispatcherOptionsFrom(settings),
@@ -253,13 +253,13 @@
   state.leaving = stopping_;
   state.service = settings_.service;
   state.load = gate_.Load();
-  traffic_.Fill(state, timers_.Now());
+  traffic_.Fill(state);
   return state;
 }
 
 void Node::OnState(peers::Link& link, const peers::State& state) {
   dispatcher_.OnLoad(link.peer(), state.load);
-  traffic_.OnReport(link.peer(), state, timers_.Now());
+  traffic_.OnReport(link.peer(), state);
   AskIfBehind(link, state);
 }
 
@@ -314,11 +314,10 @@
 }
 
 void Node::PlanAdmission() {
-  Millis now = timers_.Now();
   peers::State own = Report(settings_.zone);
   dispatcher_.OnLoad(settings_.links, own.load);
-  traffic_.OnReport(settings_.links, own, now);
-  traffic_.Plan(dispatcher_.directory(), zones::EjectOptions(), now);
+  traffic_.OnReport(settings_.links, own);
+  traffic_.Plan(dispatcher_.directory(), zones::EjectOptions());
   LogPlan(own);
   plan_.Start(kPlanInterval, [this] { PlanAdmission(); });
 }
@@ -328,12 +327,12 @@
   Millis now = timers_.Now();
   if (now - plan_logged_ < kPlanLogInterval) return;
   nlohmann::json routes;
-  for (const auto& [route, rate] : own.demand) {
-    double share = traffic_.plan().share(route);
+  for (const peers::RouteDemand& row : own.demand) {
+    double share = traffic_.plan().share(row.route);
     if (share >= 1) continue;
-    routes[route] = {{"share", share},
-                     {"bound_by", traffic_.plan().bound_by(route)},
-                     {"demand_per_s", rate}};
+    routes[row.route] = {{"share", share},
+                         {"bound_by", traffic_.plan().bound_by(row.route)},
+                         {"demand_per_s", row.per_s}};
   }
   if (routes.empty()) return;
   plan_logged_ = now;
--- a/almondwind/sidecar/traffic.cc
+++ b/almondwind/sidecar/traffic.cc
@@ -1,6 +1,5 @@
 #include "almondwind/sidecar/traffic.h"
 
-#include <algorithm>
 #include <cmath>
 
 namespace almondwind::sidecar {
@@ -8,50 +7,64 @@
 using base::Millis;
 
 namespace {
-// Routes asked for less often are left out of reports.
-constexpr double kMinRate = 0.05;
+// Routes of which fewer requests are remembered are left out of reports.
+constexpr double kMinSeen = 0.3;
 }  // namespace
 
-Traffic::Traffic(const TrafficOptions& options)
+Traffic::Traffic(const TrafficOptions& options, const base::Clock& clock)
     : options_(options),
+      clock_(clock),
       tracker_(options.tracker),
       costs_(options.costs),
       plan_(options.admission) {}
 
 void Traffic::OnRunStarted(uint64_t run, const std::string& route,
                            base::RequestClass cls, Millis deadline) {
-  tracker_.Start(run, route, cls, deadline);
+  tracker_.Start(run, route, cls, deadline, clock_.Now());
 }
 
 void Traffic::OnRunEnded(uint64_t run, bool completed, Millis took) {
-  tracker_.End(run, completed, took, now_);
+  tracker_.End(run, completed, took, clock_.Now());
 }
 
-double Traffic::RateNow(const Rate& rate, Millis now) const {
-  double age = static_cast<double>((now - rate.at).count());
-  return rate.per_s *
-         std::exp(-age / static_cast<double>(options_.demand_window.count()));
+double Traffic::Fading::Now(Millis now, Millis window) const {
+  double age = static_cast<double>((now - at).count());
+  return value * std::exp(-age / static_cast<double>(window.count()));
 }
 
-void Traffic::Count(const std::string& route, Millis now) {
-  if (demand_.size() >= kMaxRoutes && demand_.count(route) == 0) return;
-  Rate& rate = demand_[route];
-  double window_s = static_cast<double>(options_.demand_window.count()) / 1000;
-  rate.per_s = RateNow(rate, now) + 1 / window_s;
-  rate.at = now;
+void Traffic::Fading::Add(double amount, Millis now, Millis window) {
+  value = Now(now, window) + amount;
+  at = now;
+}
+
+void Traffic::Count(const std::string& route, bool orphan, Millis now) {
+  if (arrivals_.size() >= kMaxRoutes && arrivals_.count(route) == 0) return;
+  Arrivals& arrivals = arrivals_[route];
+  arrivals.demand.Add(1, now, options_.demand_window);
+  arrivals.seen.Add(1, now, options_.kind_window);
+  arrivals.orphans.Add(orphan ? 1 : 0, now, options_.kind_window);
+}
+
+Traffic::RouteKind Traffic::KindOf(const std::string& route) const {
+  auto it = kinds_.find(route);
+  return it == kinds_.end() ? RouteKind::kUnknown : it->second;
 }
 
 Entry Traffic::Enter(const routes::Route& route, Millis deadline, Millis now) {
-  now_ = now;
   Entry entry;
   entry.cls = routes::ClassOf(route.priority);
-  if (auto parent = tracker_.Match(route.name, deadline)) {
+  graph::Match match = tracker_.Find(route.name, deadline);
+  Count(route.name, match.orphan, now);
+  RouteKind kind = KindOf(route.name);
+  if (kind == RouteKind::kCalled && !match.orphan) {
+    tracker_.Count(match, route.name, now);
     entry.inner = true;
-    entry.cls = parent->cls;
+    entry.cls = match.cls;
     return entry;
   }
-  Count(route.name, now);
-  if (!plan_.Enter(route.name)) entry.come_back = options_.come_back;
+  if (kind == RouteKind::kClients && !plan_.Enter(route.name)) {
+    entry.come_back = options_.come_back;
+  }
   return entry;
 }
 
@@ -60,7 +73,7 @@
   routes::RetryBudget::Costs out;
   if (table_ != nullptr) {
     for (const auto& [below, cost] :
-         costs_.Of(route, service, *table_, now_)) {
+         costs_.Of(route, service, *table_, clock_.Now())) {
       out.emplace_back(below, cost.requests);
     }
   }
@@ -69,9 +82,10 @@
 }
 
 void Traffic::Plan(const zones::Directory& directory,
-                   const zones::EjectOptions& eject, Millis now) {
-  now_ = now;
+                   const zones::EjectOptions& eject) {
+  Millis now = clock_.Now();
   if (table_ == nullptr) return;
+  TakeReports(now);
   std::map<std::string, graph::Room> rooms;
   for (const auto& [name, machine] : directory.machines()) {
     if (machine->leaving() || !machine->Usable(now, eject)) continue;
@@ -89,21 +103,59 @@
   plan_.Plan(*table_, costs_, now);
 }
 
-void Traffic::OnReport(const std::string& node, const peers::State& state,
-                       Millis now) {
-  now_ = now;
-  plan_.SetDemand(node, state.demand, now);
+void Traffic::OnReport(const std::string& node, const peers::State& state) {
+  Millis now = clock_.Now();
+  reports_[node] = {state.demand, now};
   costs_.Report(node, state.service, state.costs, now);
 }
 
-void Traffic::Fill(peers::State& state, Millis now) {
-  for (auto it = demand_.begin(); it != demand_.end();) {
-    double rate = RateNow(it->second, now);
-    if (rate < kMinRate) {
-      it = demand_.erase(it);
+void Traffic::TakeReports(Millis now) {
+  struct Sum {
+    double seen = 0;
+    double orphans = 0;
+  };
+  std::map<std::string, Sum> sums;
+  for (auto it = reports_.begin(); it != reports_.end();) {
+    if (now - it->second.at > options_.admission.demand_life) {
+      it = reports_.erase(it);
+      continue;
+    }
+    for (const peers::RouteDemand& row : it->second.demand) {
+      sums[row.route].seen += row.seen;
+      sums[row.route].orphans += row.orphans;
+    }
+    ++it;
+  }
+  kinds_.clear();
+  for (const auto& [route, sum] : sums) {
+    if (sum.seen < options_.kind_samples) continue;
+    bool called = sum.orphans < options_.called_orphans * sum.seen;
+    kinds_[route] = called ? RouteKind::kCalled : RouteKind::kClients;
+  }
+  for (const auto& [node, report] : reports_) {
+    graph::AdmissionPlan::Demand demand;
+    for (const peers::RouteDemand& row : report.demand) {
+      if (KindOf(row.route) != RouteKind::kClients) continue;
+      demand.emplace_back(row.route, row.per_s);
+    }
+    plan_.SetDemand(node, demand, report.at);
+  }
+}
+
+void Traffic::Fill(peers::State& state) {
+  Millis now = clock_.Now();
+  for (auto it = arrivals_.begin(); it != arrivals_.end();) {
+    peers::RouteDemand row;
+    row.route = it->first;
+    row.per_s = it->second.demand.Now(now, options_.demand_window) * 1000 /
+                static_cast<double>(options_.demand_window.count());
+    row.seen = it->second.seen.Now(now, options_.kind_window);
+    row.orphans = it->second.orphans.Now(now, options_.kind_window);
+    if (row.seen < kMinSeen) {
+      it = arrivals_.erase(it);
       continue;
     }
-    state.demand.emplace_back(it->first, rate);
+    state.demand.push_back(std::move(row));
     ++it;
   }
   state.costs = tracker_.Costs(now);
--- a/almondwind/sidecar/traffic.h
+++ b/almondwind/sidecar/traffic.h
@@ -28,13 +28,23 @@
   // Over this time a route's requests a second are averaged: long against the
   // gaps between requests, short against the seconds that a surge lasts.
   base::Millis demand_window{1000};
+  // Over this time requests and orphans are counted to tell called routes from
+  // clients' routes.
+  base::Millis kind_window{15'000};
+  // Most orphans among the requests of a called route. A run that is broken
+  // off may leave a call or two behind; clients' requests with short deadlines
+  // are orphans at least on hosts with little to do.
+  double called_orphans = 0.04;
+  // Requests of a route, on all nodes, before its kind is decided; until then
+  // they are let in.
+  double kind_samples = 25;
   // Told to callers that the plan refuses.
   base::Millis come_back{900};
 };
 
 class Traffic : public RunObserver, public Admission {
  public:
-  explicit Traffic(const TrafficOptions& options);
+  Traffic(const TrafficOptions& options, const base::Clock& clock);
 
   void OnRunStarted(uint64_t run, const std::string& route,
                     base::RequestClass cls, base::Millis deadline) override;
@@ -46,37 +56,52 @@
                                          const std::string& service) override;
 
   void SetTable(routes::RouteTablePtr table) { table_ = std::move(table); }
-  // The time now, before a call without it.
-  void SetNow(base::Millis now) { now_ = now; }
   // Plans anew from what the upstreams of `directory` report.
   void Plan(const zones::Directory& directory,
-            const zones::EjectOptions& eject, base::Millis now);
+            const zones::EjectOptions& eject);
   // A peer's report, or this node's own.
-  void OnReport(const std::string& node, const peers::State& state,
-                base::Millis now);
+  void OnReport(const std::string& node, const peers::State& state);
   // Fills in this node's part of its report.
-  void Fill(peers::State& state, base::Millis now);
+  void Fill(peers::State& state);
 
   const graph::AdmissionPlan& plan() const { return plan_; }
 
  private:
-  struct Rate {
-    double per_s = 0;
+  // A count that fades over a window.
+  struct Fading {
+    double value = 0;
+    base::Millis at{0};
+
+    double Now(base::Millis now, base::Millis window) const;
+    void Add(double amount, base::Millis now, base::Millis window);
+  };
+  struct Arrivals {
+    Fading demand;
+    Fading seen;
+    Fading orphans;
+  };
+  struct Report {
+    std::vector<peers::RouteDemand> demand;
     base::Millis at{0};
   };
+  enum class RouteKind : uint8_t { kUnknown, kCalled, kClients };
 
-  void Count(const std::string& route, base::Millis now);
-  double RateNow(const Rate& rate, base::Millis now) const;
+  void Count(const std::string& route, bool orphan, base::Millis now);
+  // Tells the routes' kinds and gives the plan the demand of clients' routes.
+  void TakeReports(base::Millis now);
+  RouteKind KindOf(const std::string& route) const;
 
   static constexpr size_t kMaxRoutes = 4096;  // beyond: not counted
 
   const TrafficOptions options_;
+  const base::Clock& clock_;
   routes::RouteTablePtr table_;
   graph::RunTracker tracker_;
   graph::CostTable costs_;
   graph::AdmissionPlan plan_;
-  std::map<std::string, Rate> demand_;  // callers' requests here, by route
-  base::Millis now_{0};
+  std::map<std::string, Arrivals> arrivals_;  // here, by route
+  std::map<std::string, Report> reports_;     // by node
+  std::map<std::string, RouteKind> kinds_;    // by route
 };
 
 }  // namespace almondwind::sidecar
--- a/almondwind/zones/machine.cc
+++ b/almondwind/zones/machine.cc
@@ -8,6 +8,10 @@
 // A report older than this says nothing about the present.
 constexpr base::Millis kReportLife{1000};
 constexpr int kMaxDoublings = 5;
+// Weight of the newest outcome: ten runs tell a sick upstream from a whole one.
+constexpr double kQualityWeight = 0.1;
+// A sick upstream keeps getting a few runs, which show when it is well again.
+constexpr double kMinQuality = 0.1;
 
 }  // namespace
 
@@ -33,6 +37,11 @@
   ejected_until_ = base::Millis(0);
 }
 
+void Machine::OnOutcome(bool good) {
+  quality_ += kQualityWeight * ((good ? 1.0 : 0.0) - quality_);
+  quality_ = std::max(quality_, kMinQuality);
+}
+
 void Machine::OnReport(const links::Load& load, base::Millis now) {
   load_ = load;
   load_at_ = now;
@@ -70,6 +79,7 @@
   outstanding_ = 0;
   outstanding_at_load_ = 0;
   failures_ = 0;
+  quality_ = 1;
   ejected_until_ = base::Millis(0);
 }
 
--- a/almondwind/zones/machine.h
+++ b/almondwind/zones/machine.h
@@ -55,6 +55,11 @@
   // every call.
   void OnAnswer(const links::Load& load, bool working, base::Millis now,
                 const EjectOptions& options, double jitter);
+  // Its upstream answered a run well or badly. One that fails only a part of
+  // its runs stays in use, with less of the load.
+  void OnOutcome(bool good);
+  // Share of runs that go well, lately; never quite 0.
+  double quality() const { return quality_; }
   // The gate told its load outside an answer.
   void OnReport(const links::Load& load, base::Millis now);
   // The caller went away; says nothing of the machine.
@@ -92,6 +97,7 @@
   int outstanding_ = 0;
   int outstanding_at_load_ = 0;
   int failures_ = 0;
+  double quality_ = 1;
   int ejections_ = 0;
   base::Millis ejected_until_{0};
 };
--- a/almondwind/zones/picker.cc
+++ b/almondwind/zones/picker.cc
@@ -56,7 +56,8 @@
     for (Machine* machine : candidates) {
       // A machine that has not reported yet is tried like one with one slot.
       double free = machine->load().limit == 0 ? 1 : machine->Free(context.now);
-      double weight = std::max(0.0, free);
+      double quality = machine->quality();
+      double weight = std::max(0.0, free) * quality * quality;
       if (machine->entry().zone == context.zone) {
         weight *= context.zone_preference;
       }
