--- a/almondwind/graph/admission.cc
+++ b/almondwind/graph/admission.cc
@@ -10,6 +10,7 @@
 namespace {
 // A claim below this many slots does not bound anything.
 constexpr double kMinSlots = 0.01;
+constexpr double kMinRate = 0.01;  // requests a second
 }  // namespace
 
 void AdmissionPlan::SetDemand(const std::string& node, const Demand& demand,
@@ -49,45 +50,66 @@
 
 void AdmissionPlan::Correct() {
   for (const auto& [service, room] : rooms_) {
-    double& factor = factors_.try_emplace(service, 1).first->second;
+    double& wait = waits_[service];
+    wait += options_.wait_smoothing * (room.wait_ms - wait);
     double target =
         std::max(static_cast<double>(options_.wait_target.count()),
                  options_.wait_share * room.slot_ms);
-    bool waits = room.wait_ms > target;
-    factor = waits ? factor * options_.fall : factor + options_.rise;
+    double& factor = factors_.try_emplace(service, 1).first->second;
+    factor += options_.step * std::clamp((target - wait) / target, -1.0, 1.0);
     factor = std::clamp(factor, options_.min_factor, options_.max_factor);
   }
 }
 
-// Grants routes of one priority their claims, scaled down alike where a
-// service has no room for all of them. A route that the scarce service does
-// not bound is not scaled.
+// The claims that cost `scarce` the least for a request, and those of about
+// the same cost.
+std::vector<AdmissionPlan::Claim*> AdmissionPlan::Cheapest(
+    const std::vector<Claim*>& peers, const std::string& scarce) const {
+  auto cost = [&scarce](const Claim& claim) {
+    auto it = claim.slots.find(scarce);
+    double slots = it == claim.slots.end() ? 0 : it->second;
+    return slots / std::max(claim.per_s, kMinRate);
+  };
+  double least = std::numeric_limits<double>::infinity();
+  for (const Claim* claim : peers) least = std::min(least, cost(*claim));
+  std::vector<Claim*> out;
+  for (Claim* claim : peers) {
+    if (cost(*claim) <= least * options_.alike) out.push_back(claim);
+  }
+  return out;
+}
+
+// Grants routes of one priority their claims. While a service has no room for
+// all, the cheapest there are granted first, scaled down alike if need be.
 void AdmissionPlan::Grant(std::vector<Claim*> peers,
                           std::map<std::string, double>& left) {
   while (!peers.empty()) {
-    std::map<std::string, double> wanted;
-    for (const Claim* claim : peers) {
-      for (const auto& [service, slots] : claim->slots) wanted[service] += slots;
-    }
-    std::string scarce;
+    std::vector<Claim*> group = peers;
     double share = 1;
-    for (const auto& [service, slots] : wanted) {
-      auto room = left.find(service);
-      if (room == left.end() || slots < kMinSlots) continue;
-      double fits = std::max(0.0, room->second) / slots;
-      if (fits >= share) continue;
-      share = fits;
-      scarce = service;
-    }
-    std::vector<Claim*> rest;
-    for (Claim* claim : peers) {
-      auto at = claim->slots.find(scarce);
-      bool bound = scarce.empty() ||
-                   (at != claim->slots.end() && at->second >= kMinSlots);
-      if (!bound) {
-        rest.push_back(claim);
-        continue;
+    std::string scarce;
+    // Narrows the group until it is granted whole or cannot be narrowed.
+    for (;;) {
+      std::map<std::string, double> wanted;
+      for (const Claim* claim : group) {
+        for (const auto& [service, slots] : claim->slots) {
+          wanted[service] += slots;
+        }
       }
+      share = 1;
+      for (const auto& [service, slots] : wanted) {
+        auto room = left.find(service);
+        if (room == left.end() || slots < kMinSlots) continue;
+        double fits = std::max(0.0, room->second) / slots;
+        if (fits >= share) continue;
+        share = fits;
+        scarce = service;
+      }
+      if (share >= 1) break;
+      std::vector<Claim*> cheapest = Cheapest(group, scarce);
+      if (cheapest.size() == group.size()) break;
+      group = std::move(cheapest);
+    }
+    for (Claim* claim : group) {
       RoutePlan& plan = plans_[claim->route->name];
       plan.share = share;
       plan.bound_by = scarce;
@@ -95,8 +117,8 @@
         auto room = left.find(service);
         if (room != left.end()) room->second -= slots * share;
       }
+      peers.erase(std::find(peers.begin(), peers.end(), claim));
     }
-    peers = std::move(rest);
   }
 }
 
--- a/almondwind/graph/admission.h
+++ b/almondwind/graph/admission.h
@@ -4,13 +4,14 @@
 // call that it refuses wastes what the layers above have done, so the refusal
 // belongs at the entry, before any work. From the room of every service and
 // the demand and cost of every route the plan follows: routes are served in
-// the order of their priority, each gets what it asks for while there is room,
-// and routes of one priority share alike what is left. All entries compute it
+// the order of their priority, each gets what it asks for while there is room;
+// routes of one priority share alike what is left, those first that cost the
+// scarce service far less than the others. All entries compute it
 // from the same reports, so callers of all zones are treated alike.
 //
 // Costs are measured and capacity changes faster than its measurement, so a
 // factor for each service corrects the plan: it falls while requests wait
-// there, and recovers while none do.
+// long there, and recovers while they do not.
 //
 //   admission.SetRoom("pricing", {45, 0});
 //   admission.SetDemand(node, {{"browse", 94.0}}, now);
@@ -37,14 +38,20 @@
   // Share of a service's slots that the plan fills. The rest takes up bursts:
   // without it the queue in front of the slots never empties.
   double fill = 0.92;
-  // Mean wait in a service's queues from which on its factor falls: the larger
-  // of a time and a share of the time that a request holds a slot.
-  base::Millis wait_target{12};
+  // Mean wait in a service's queues at which its factor stays as it is: the
+  // larger of a time and a share of the time that a request holds a slot.
+  base::Millis wait_target{20};
   double wait_share = 0.2;
-  double fall = 0.94;    // a plan, while requests wait
-  double rise = 0.02;    // a plan, while none do
+  double wait_smoothing = 0.25;  // weight of the newest report in the mean
+  // Change of the factor by a plan: down at twice the target or more, up while
+  // nothing waits.
+  double step = 0.03;
   double min_factor = 0.6;
   double max_factor = 1.15;
+  // Routes of one priority whose costs at the scarce service are within this
+  // factor share its room alike; cheaper ones go first, since the same room
+  // serves more of them.
+  double alike = 3;
   base::Millis demand_life{2500};  // of a node's report
 };
 
@@ -100,10 +107,13 @@
                             base::Millis now);
   void Correct();
   void Grant(std::vector<Claim*> peers, std::map<std::string, double>& left);
+  std::vector<Claim*> Cheapest(const std::vector<Claim*>& peers,
+                               const std::string& scarce) const;
 
   const AdmissionOptions options_;
   std::map<std::string, Room> rooms_;
   std::map<std::string, double> factors_;  // by service
+  std::map<std::string, double> waits_;    // smoothed, by service
   std::map<std::string, double> wanted_;   // slots, by service
   std::map<std::string, NodeDemand> demand_;
   std::map<std::string, RoutePlan> plans_;
--- a/almondwind/graph/run_tracker.cc
+++ b/almondwind/graph/run_tracker.cc
@@ -45,11 +45,12 @@
     by_deadline_.erase(d);
     break;
   }
-  if (!completed) return;
   if (stats_.size() >= kMaxRoutes && stats_.count(ended.route) == 0) return;
   RouteStats& stats = stats_[ended.route];
   stats.runs = Decayed(stats, now) + 1;
   stats.counted = now;
+  // A run that failed may have ended before its calls; its time says little.
+  if (!completed && stats.samples > 0) return;
   ++stats.samples;
   double weight = Weight(options_.smoothing, stats.samples);
   stats.slot_ms +=
--- a/almondwind/graph/testing/graph_test.cc
+++ b/almondwind/graph/testing/graph_test.cc
@@ -136,14 +136,34 @@
   BOOST_TEST(Entered(plan, "compare", 1000) == 1000);
   BOOST_TEST(Entered(plan, "download", 1000) == 1000);
   BOOST_TEST(plan.bound_by("browse") == "pricing");
-  // 45 slots, the factor's first step of 1.02, less 24 for quotes and 1.44
-  // for comparisons, over 40.8 wanted.
-  double share = (45 * 1.02 - 24 - 1.44) / 40.8;
+  // 45 slots, the factor's first step up, less 24 for quotes and 1.44 for
+  // comparisons, over 40.8 wanted.
+  double share = (45 * (1 + options.step) - 24 - 1.44) / 40.8;
   BOOST_TEST(plan.share("browse") == share,
              boost::test_tools::tolerance(0.001));
   BOOST_TEST(std::abs(Entered(plan, "browse", 1000) - 1000 * share) <= 1.5);
 }
 
+// Two routes of one priority: one costs the scarce service a little (or the
+// estimate says so by chance), the other a lot. Refusing the first would free
+// next to nothing.
+BOOST_AUTO_TEST_CASE(a_route_that_costs_little_goes_before_a_dear_one) {
+  AdmissionPlan plan({});
+  CostTable costs({});
+  Millis now(1000);
+  ReportChain(costs, now);
+  costs.Report("n3", "drawings",
+               {{"download", 300, 40, {{"rates", 0.3}}},
+                {"survey", 140, 300, {{"rates", 4}}}},
+               now);
+  plan.SetRooms(Rooms(30));
+  plan.SetDemand("e", {{"browse", 150.0}, {"download", 40.0}}, now);
+  plan.Plan(*ChainRoutes(), costs, now);
+  BOOST_TEST(plan.share("download") == 1);
+  BOOST_TEST(plan.share("browse") < 0.8);
+  BOOST_TEST(plan.share("browse") > 0.5);
+}
+
 BOOST_AUTO_TEST_CASE(a_calm_day_is_not_touched) {
   AdmissionPlan plan({});
   CostTable costs({});
@@ -173,7 +193,7 @@
   };
   step(0);
   BOOST_TEST(plan.share("browse") == 1);
-  for (int i = 0; i < 12; ++i) step(100);
+  for (int i = 0; i < 16; ++i) step(100);  // 4 s
   BOOST_TEST(plan.share("browse") < 0.75);
   BOOST_TEST(plan.share("quote") == 1);
   for (int i = 0; i < 40; ++i) step(0);
--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -244,7 +244,8 @@
   }
   if (outcome == Outcome::kNotRun) return OnNotRun(call, answer);
   if (outcome == Outcome::kUnknown) return OnUnknown(call, reason);
-  if (answer.status >= 500 && call.route->idempotent && MayRepeat(call)) {
+  if (answer.status >= 500 && call.route->idempotent && FailsAlone(call) &&
+      MayRepeat(call)) {
     return Try(call);
   }
   http::Response response;
@@ -255,6 +256,14 @@
   Finish(call, std::move(response), "answered");
 }
 
+bool Dispatcher::FailsAlone(const EntryCall& call) {
+  double best = 0;
+  for (const zones::Machine* machine : Candidates(call, /*any=*/false)) {
+    best = std::max(best, machine->quality());
+  }
+  return call.machine->quality() < options_.repeat_quality * best;
+}
+
 // Whether the request may be sent to one more upstream; takes it from the
 // retry budget if so.
 bool Dispatcher::MayRepeat(EntryCall& call) {
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -67,7 +67,17 @@
   // between zones are priced, and an own zone that is short of slots gives
   // only a part of its load to the others.
   double zone_preference = 8;
-  zones::EjectOptions eject;
+  // Links notice a peer's silence themselves; a call may be queued for longer
+  // than the default.
+  zones::EjectOptions eject = [] {
+    zones::EjectOptions o;
+    o.silence = base::Millis(1000);
+    return o;
+  }();
+  // A failed run is repeated only if its upstream fails this much more often
+  // than the best other one; else the cause lies below, and a repeat would
+  // find it there too.
+  double repeat_quality = 0.85;
   // Shortest and longest time after which a refused caller may come back.
   base::Millis min_retry_after{100};
   base::Millis max_retry_after{2000};
@@ -109,6 +119,7 @@
   const routes::RouteTablePtr& table() const { return table_; }
   zones::Directory& directory() { return directory_; }
   routes::RetryBudget& retry_budget() { return budget_; }
+  const zones::EjectOptions& eject_options() const { return options_.eject; }
 
   // Takes a request from this host. Returns the id under which it is answered;
   // the answer may come before this returns.
@@ -142,6 +153,7 @@
   void OnUnknown(EntryCall& call, base::Reason reason);
   void OnDeadline(EntryCall& call);
   bool MayRepeat(EntryCall& call);
+  bool FailsAlone(const EntryCall& call);
   void Refuse(EntryCall& call, base::Reason reason, base::Millis retry_after);
   void Finish(EntryCall& call, http::Response response,
               const std::string& why);
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -317,7 +317,7 @@
   peers::State own = Report(settings_.zone);
   dispatcher_.OnLoad(settings_.links, own.load);
   traffic_.OnReport(settings_.links, own);
-  traffic_.Plan(dispatcher_.directory(), zones::EjectOptions());
+  traffic_.Plan(dispatcher_.directory(), dispatcher_.eject_options());
   LogPlan(own);
   plan_.Start(kPlanInterval, [this] { PlanAdmission(); });
 }
