Learn calls of a run by deadlines, less those by chance

Cause: a call may have a limit of its own and then does not carry its parent's deadline; rate sheets were taken for clients' requests and refused, and after that, regressions on counts gave a part of the calls to downloads, which share the host and never call.

--- a/almondwind/graph/run_tracker.cc
+++ b/almondwind/graph/run_tracker.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <cstdlib>
 
 namespace almondwind::graph {
 
@@ -9,11 +10,10 @@
 
 namespace {
 
-// Time over which runs a second are counted.
-constexpr double kRateWindowMs = 2000;
 // How much more likely a run with the call's own deadline is its parent than
 // another run of the same route.
 constexpr double kExactWeight = 20;
+
 // The mean is taken over the first runs, then smoothed.
 double Weight(double smoothing, int samples) {
   return std::max(smoothing, 1.0 / samples);
@@ -21,24 +21,27 @@
 
 }  // namespace
 
+double RunTracker::Fading::Now(Millis now, Millis memory) const {
+  auto age = static_cast<double>((now - at).count());
+  return value * std::exp(-age / static_cast<double>(memory.count()));
+}
+
+void RunTracker::Fading::Add(double amount, Millis now, Millis memory) {
+  value = Now(now, memory) + amount;
+  at = now;
+}
+
 void RunTracker::Start(uint64_t run, const std::string& route,
-                       base::RequestClass cls, Millis deadline, Millis now) {
-  rates_.Start(route, now);
+                       base::RequestClass cls, Millis deadline) {
   runs_[run] = {route, cls, deadline, {}};
   by_deadline_.emplace(deadline.count(), run);
 }
 
-double RunTracker::Decayed(const RouteStats& stats, Millis now) {
-  auto age = static_cast<double>((now - stats.counted).count());
-  return stats.runs * std::exp(-age / kRateWindowMs);
-}
-
 void RunTracker::End(uint64_t run, bool completed, Millis took, Millis now) {
   auto it = runs_.find(run);
   if (it == runs_.end()) return;
   Run ended = std::move(it->second);
   runs_.erase(it);
-  rates_.End(ended.route, now);
   auto range = by_deadline_.equal_range(ended.deadline.count());
   for (auto d = range.first; d != range.second; ++d) {
     if (d->second != run) continue;
@@ -47,14 +50,20 @@
   }
   if (stats_.size() >= kMaxRoutes && stats_.count(ended.route) == 0) return;
   RouteStats& stats = stats_[ended.route];
-  stats.runs = Decayed(stats, now) + 1;
-  stats.counted = now;
+  stats.runs.Add(1, now, options_.memory);
   // A run that failed may have ended before its calls; its time says little.
   if (!completed && stats.samples > 0) return;
   ++stats.samples;
   double weight = Weight(options_.smoothing, stats.samples);
   stats.slot_ms +=
       weight * (static_cast<double>(took.count()) - stats.slot_ms);
+  weight = Weight(options_.net_smoothing, stats.samples);
+  for (const auto& [callee, count] : ended.net) stats.net[callee];
+  for (auto& [callee, mean] : stats.net) {
+    auto found = ended.net.find(callee);
+    double count = found == ended.net.end() ? 0 : found->second;
+    mean += weight * (count - mean);
+  }
 }
 
 Match RunTracker::Find(const std::string& route, Millis deadline) const {
@@ -64,22 +73,20 @@
   Match match;
   const Run* best = nullptr;
   double best_weight = 0;
-  int best_calls = 0;
-  for (auto it =
-           by_deadline_.lower_bound((deadline - options_.late).count());
+  for (auto it = by_deadline_.lower_bound((deadline - options_.late).count());
        it != by_deadline_.end(); ++it) {
     const Run& run = runs_.at(it->second);
-    double weight = rates_.PerMs(run.route, route);
+    double weight = 0;
+    auto stats = stats_.find(run.route);
+    if (stats != stats_.end()) {
+      auto net = stats->second.net.find(route);
+      if (net != stats->second.net.end()) weight = std::max(0.0, net->second);
+    }
     if (it->first <= exact_until) weight *= kExactWeight;
-    auto made = run.calls.find(route);
-    int calls = made == run.calls.end() ? 0 : made->second;
-    bool better = best == nullptr || weight > best_weight ||
-                  (weight == best_weight && calls < best_calls);
-    if (!better) continue;
+    if (best != nullptr && weight <= best_weight) continue;
     best = &run;
     match.run = it->second;
     best_weight = weight;
-    best_calls = calls;
   }
   if (best == nullptr) return match;
   match.orphan = false;
@@ -87,32 +94,62 @@
   return match;
 }
 
-void RunTracker::Count(const Match& match, const std::string& route,
-                       Millis now) {
-  rates_.Call(route, now);
-  auto it = runs_.find(match.run);
-  if (it != runs_.end()) ++it->second.calls[route];
+int RunTracker::Mark(const std::string& route, Millis from, Millis to,
+                     int amount) {
+  int marked = 0;
+  for (auto it = by_deadline_.lower_bound(from.count());
+       it != by_deadline_.end() && it->first <= to.count(); ++it) {
+    runs_.at(it->second).net[route] += amount;
+    ++marked;
+  }
+  return marked;
+}
+
+void RunTracker::Count(const std::string& route, Millis deadline, Millis now) {
+  if (callees_.size() >= kMaxRoutes && callees_.count(route) == 0) return;
+  Millis from = deadline - options_.late;
+  Millis to = deadline + options_.early;
+  Millis beside = options_.aside + (to - from);
+  int exact = Mark(route, from, to, 1);
+  int chance = Mark(route, from + beside, to + beside, -1);
+  Callee& callee = callees_[route];
+  callee.calls.Add(1, now, options_.memory);
+  callee.net.Add(exact - chance, now, options_.memory);
 }
 
-std::vector<peers::RouteCost> RunTracker::Costs(Millis now) {
-  rates_.Solve(now);
+// Calls of `callee` that a completed run makes, where `runs` is the number of
+// all routes' runs.
+double RunTracker::CallsOf(const RouteStats& stats, const std::string& callee,
+                           double runs, Millis now) const {
+  const Callee& of = callees_.at(callee);
+  double calls = of.calls.Now(now, options_.memory);
+  double net = of.net.Now(now, options_.memory);
+  if (net < options_.min_exact * calls) return calls / std::max(1.0, runs);
+  auto mean = stats.net.find(callee);
+  if (mean == stats.net.end()) return 0;
+  return std::max(0.0, mean->second) * std::max(1.0, calls / net);
+}
+
+std::vector<peers::RouteCost> RunTracker::Costs(Millis now) const {
   // Rarer routes weigh nothing in anybody's plan.
-  constexpr double kMinRuns = 0.5;
+  constexpr double kMinRuns = 1;
   constexpr double kMinCalls = 0.02;
+  double all = 0;
+  for (const auto& [route, stats] : stats_) {
+    all += stats.runs.Now(now, options_.memory);
+  }
   std::vector<peers::RouteCost> out;
   for (const auto& [route, stats] : stats_) {
-    double runs = Decayed(stats, now);
+    double runs = stats.runs.Now(now, options_.memory);
     if (runs < kMinRuns) continue;
     peers::RouteCost cost;
     cost.route = route;
     cost.slot_ms = stats.slot_ms;
-    cost.runs_per_s = runs * 1000 / kRateWindowMs;
-    auto called = rates_.rates().find(route);
-    if (called != rates_.rates().end()) {
-      for (const auto& [callee, per_ms] : called->second) {
-        double calls = per_ms * stats.slot_ms;
-        if (calls >= kMinCalls) cost.calls.emplace_back(callee, calls);
-      }
+    cost.runs_per_s =
+        runs * 1000 / static_cast<double>(options_.memory.count());
+    for (const auto& [callee, counts] : callees_) {
+      double calls = CallsOf(stats, callee, all, now);
+      if (calls >= kMinCalls) cost.calls.emplace_back(callee, calls);
     }
     out.push_back(std::move(cost));
   }
--- a/almondwind/graph/run_tracker.h
+++ b/almondwind/graph/run_tracker.h
@@ -6,14 +6,14 @@
 //   - a request that would outlive every run in progress is no call of these
 //     (an orphan); a route whose requests are hardly ever orphans, on any node,
 //     is a called route, and one with many is a route of clients;
-//   - a call belongs to a run that outlives it: most likely to one with the
-//     same deadline, and of a route that often makes such calls.
-// How many calls a route makes is not taken from this assignment, which errs
-// with many runs at a time, but from CallRates.
+//   - runs whose deadline a call has are likely its parents. How many are so by
+//     chance shows a window beside it, in which no parent can be; what is left
+//     says which routes make the calls, and in which proportion. The calls
+//     without a parent's deadline are taken to divide in the same proportion.
 //
-//   tracker.Start(run, "browse", critical, deadline, now);
+//   tracker.Start(run, "browse", critical, deadline);
 //   Match match = tracker.Find("lookup", deadline);   // of a request
-//   if (!match.orphan) tracker.Count(match, "lookup", now);
+//   if (!match.orphan) tracker.Count("lookup", deadline, now);
 //   tracker.End(run, completed, took, now);
 //
 // Bounds: kMaxRoutes routes; beyond it new ones are not learned. Cost: a
@@ -29,7 +29,6 @@
 
 #include "almondwind/base/clock.h"
 #include "almondwind/base/outcome.h"
-#include "almondwind/graph/call_rates.h"
 #include "almondwind/peers/frames.h"
 
 namespace almondwind::graph {
@@ -37,9 +36,18 @@
 struct RunTrackerOptions {
   // How much earlier or later than its parent's a call's deadline may be: both
   // are rounded to 1 ms, and the request waits some ms to be read.
-  base::Millis early{2};
-  base::Millis late{8};
-  double smoothing = 0.05;  // weight of the newest run
+  base::Millis early{1};
+  base::Millis late{4};
+  // From the end of that window to the one beside it.
+  base::Millis aside{25};
+  double smoothing = 0.03;  // weight of the newest run in its route's time
+  // The same for its calls, of which chance adds and takes some.
+  double net_smoothing = 0.004;
+  // Time over which calls are counted.
+  base::Millis memory{15'000};
+  // Below this share of calls with a parent's deadline, routes cannot be told
+  // apart, and all are taken to make the calls alike.
+  double min_exact = 0.03;
 };
 
 // What a request may belong to.
@@ -54,16 +62,16 @@
   explicit RunTracker(const RunTrackerOptions& options) : options_(options) {}
 
   void Start(uint64_t run, const std::string& route, base::RequestClass cls,
-             base::Millis deadline, base::Millis now);
+             base::Millis deadline);
   // `completed`: the upstream answered with success after `took` in its slot.
   void End(uint64_t run, bool completed, base::Millis took, base::Millis now);
   // The run that a request of `route` may be a call of.
   Match Find(const std::string& route, base::Millis deadline) const;
-  // The request is a call of `match`.
-  void Count(const Match& match, const std::string& route, base::Millis now);
+  // A request of `route` is a call of one of the runs.
+  void Count(const std::string& route, base::Millis deadline, base::Millis now);
 
   // What the runs of each route cost, for the peers.
-  std::vector<peers::RouteCost> Costs(base::Millis now);
+  std::vector<peers::RouteCost> Costs(base::Millis now) const;
 
  private:
   static constexpr size_t kMaxRoutes = 256;
@@ -72,22 +80,40 @@
     std::string route;
     base::RequestClass cls;
     base::Millis deadline;
-    std::map<std::string, int> calls;
+    // Calls with its deadline, less those beside it; by called route.
+    std::map<std::string, int> net;
+  };
+  // A count that fades.
+  struct Fading {
+    double value = 0;
+    base::Millis at{0};
+
+    double Now(base::Millis now, base::Millis memory) const;
+    void Add(double amount, base::Millis now, base::Millis memory);
+  };
+  struct Callee {
+    Fading calls;
+    Fading net;  // of them, with the deadline of a run, less those by chance
   };
   struct RouteStats {
     double slot_ms = 0;
-    double runs = 0;  // decayed, over kRateWindow
-    base::Millis counted{0};
+    Fading runs;
     int samples = 0;
+    std::map<std::string, double> net;  // of a completed run, by called route
   };
 
-  static double Decayed(const RouteStats& stats, base::Millis now);
+  // Adds `amount` to all runs with deadlines from `from` to `to`; returns how
+  // many there are.
+  int Mark(const std::string& route, base::Millis from, base::Millis to,
+           int amount);
+  double CallsOf(const RouteStats& stats, const std::string& callee,
+                 double runs, base::Millis now) const;
 
   const RunTrackerOptions options_;
   std::unordered_map<uint64_t, Run> runs_;
   std::multimap<int64_t, uint64_t> by_deadline_;  // ms, run
   std::map<std::string, RouteStats> stats_;
-  CallRates rates_{CallRatesOptions()};
+  std::map<std::string, Callee> callees_;
 };
 
 }  // namespace almondwind::graph
--- a/almondwind/graph/testing/graph_test.cc
+++ b/almondwind/graph/testing/graph_test.cc
@@ -217,8 +217,9 @@
 
 // Runs of two routes on one host: surveys make four calls each, one after the
 // other; downloads make none and outlive most calls. A call ends with its
-// parent or after 250 ms, whichever is first, so many calls carry no parent's
-// deadline. Clients' requests of other routes mix in.
+// parent or after 450 ms, whichever is first, so many calls carry no parent's
+// deadline. By spells, congestion below makes surveys three times as long.
+// Clients' requests of other routes mix in.
 BOOST_AUTO_TEST_CASE(calls_are_given_to_the_runs_that_made_them) {
   RunTracker tracker({});
   std::mt19937_64 random(20261204);
@@ -227,6 +228,7 @@
     int64_t deadline;
     int64_t ends;
     int64_t next_call;
+    int64_t gap;
     int calls_left;
   };
   std::vector<Live> live;
@@ -240,10 +242,12 @@
     bool download = random() % 50 == 0;  // 20 a second
     if (survey || download) {
       auto timeout = static_cast<int64_t>(500 + random() % 300);
-      int64_t length = survey ? 200 : 400;
-      live.push_back({next, t + timeout, t + length, t + 20, survey ? 4 : 0});
+      int64_t slow = t / 3000 % 2 == 0 ? 1 : 3;
+      int64_t length = survey ? 160 * slow : 400;
+      live.push_back({next, t + timeout, t + length, t + 20, 40 * slow,
+                      survey ? 4 : 0});
       tracker.Start(next++, survey ? "survey" : "download",
-                    RequestClass::kNormal, Millis(t + timeout), Millis(t));
+                    RequestClass::kNormal, Millis(t + timeout));
     }
     if (random() % 50 == 0) {  // clients of the same host
       ++clients;
@@ -256,13 +260,13 @@
         int64_t late = static_cast<int64_t>(random() % 3);  // read that late
         ++calls;
         Match match = tracker.Find(
-            "rates", Millis(std::min(l.deadline, t + 250) + late));
+            "rates", Millis(std::min(l.deadline, t + 450) + late));
         orphan_calls += match.orphan;
-        tracker.Count(match, "rates", Millis(t));
+        tracker.Count(
+            "rates", Millis(std::min(l.deadline, t + 450) + late), Millis(t));
         --l.calls_left;
-        l.next_call += 40;
+        l.next_call += l.gap;
       }
-      if (t % 500 == 0) tracker.Costs(Millis(t));
       if (t < l.ends) {
         ++i;
         continue;
--- a/almondwind/sidecar/traffic.cc
+++ b/almondwind/sidecar/traffic.cc
@@ -20,7 +20,7 @@
 
 void Traffic::OnRunStarted(uint64_t run, const std::string& route,
                            base::RequestClass cls, Millis deadline) {
-  tracker_.Start(run, route, cls, deadline, clock_.Now());
+  tracker_.Start(run, route, cls, deadline);
 }
 
 void Traffic::OnRunEnded(uint64_t run, bool completed, Millis took) {
@@ -57,7 +57,7 @@
   Count(route.name, match.orphan, now);
   RouteKind kind = KindOf(route.name);
   if (kind == RouteKind::kCalled && !match.orphan) {
-    tracker_.Count(match, route.name, now);
+    tracker_.Count(route.name, deadline, now);
     entry.inner = true;
     entry.cls = match.cls;
     return entry;
