Ask the peer that has the newest configuration, whatever others say

Cause: one time stamp said since when this node is behind, and the report of any peer that was no newer reset it; among nodes that the store turned away nobody ever asked. Test: path_test peers_that_are_behind_too, which failed before.

--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -260,31 +260,26 @@
 void Node::OnState(peers::Link& link, const peers::State& state) {
   dispatcher_.OnLoad(link.peer(), state.load);
   traffic_.OnReport(link.peer(), state);
-  AskIfBehind(link, state);
+  using Kind = peers::DocumentKind;
+  AskIfBehind(link, Kind::kConfig, config_behind_, state.config_version,
+              config_version());
+  AskIfBehind(link, Kind::kFleet, fleet_behind_, state.fleet_revision,
+              view_.revision());
 }
 
-void Node::AskIfBehind(peers::Link& link, const peers::State& state) {
+// Other peers may be as far behind as this node, so only what is newest counts:
+// whoever has it is asked, once the store had the time to tell this node too.
+void Node::AskIfBehind(peers::Link& link, peers::DocumentKind kind,
+                       Behind& behind, uint64_t theirs, uint64_t ours) {
   Millis now = timers_.Now();
-  uint64_t config = config_version();
-  bool old_config = state.config_version > config;
-  bool old_fleet = state.fleet_revision > view_.revision();
-  if (!old_config && !old_fleet) {
-    behind_since_ = Millis(0);
-    return;
-  }
-  if (behind_since_ == Millis(0)) behind_since_ = now;
-  bool fresh = config == 0 || view_.revision() == 0;
-  if (!fresh && now - behind_since_ < kBehindPatience) return;
-  if (now - asked_ < kAskInterval) return;
-  asked_ = now;
-  using Kind = peers::DocumentKind;
-  if (old_config) {
-    link.Send(peers::Ask{static_cast<uint8_t>(Kind::kConfig), config});
-  }
-  if (old_fleet) {
-    link.Send(
-        peers::Ask{static_cast<uint8_t>(Kind::kFleet), view_.revision()});
-  }
+  if (behind.newest <= ours) behind.since = Millis(0);
+  behind.newest = std::max(behind.newest, theirs);
+  if (theirs <= ours) return;
+  if (behind.since == Millis(0)) behind.since = now;
+  if (ours != 0 && now - behind.since < kBehindPatience) return;
+  if (now - behind.asked < kAskInterval) return;
+  behind.asked = now;
+  link.Send(peers::Ask{static_cast<uint8_t>(kind), ours});
 }
 
 void Node::OnAsk(peers::Link& link, const peers::Ask& ask) {
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -71,12 +71,21 @@
   peers::State Report(const std::string& zone) override;
 
  private:
+  // The newest version of a document that a peer has told of, while this node
+  // has an older one.
+  struct Behind {
+    uint64_t newest = 0;
+    base::Millis since{0};
+    base::Millis asked{0};
+  };
+
   void TakeConfig(const std::string& document, const std::string& source);
   void OnViewChanged();
   void UpdateDirectory();
   void SweepView();
   void OnState(peers::Link& link, const peers::State& state);
-  void AskIfBehind(peers::Link& link, const peers::State& state);
+  void AskIfBehind(peers::Link& link, peers::DocumentKind kind, Behind& behind,
+                   uint64_t theirs, uint64_t ours);
   void OnAsk(peers::Link& link, const peers::Ask& ask);
   void OnDocument(const peers::Document& document);
   http::Response Page(const http::Request& request);
@@ -104,9 +113,8 @@
   loop::Timer settings_poll_;
   loop::Timer stop_poll_;
   loop::Timer plan_;
-  base::Millis asked_{0};
-  base::Millis behind_since_{0};
-  std::map<std::string, bool> peer_leaving_;
+  Behind config_behind_;
+  Behind fleet_behind_;
   bool stopping_ = false;
   base::Millis plan_logged_{0};
   base::Millis stop_began_{0};
--- a/almondwind/sidecar/testing/path_test.cc
+++ b/almondwind/sidecar/testing/path_test.cc
@@ -230,6 +230,19 @@
   BOOST_TEST(world.nodes[2]->config_version() == 7U);
 }
 
+// Two nodes are cut off from the store; each hears from the other, which knows
+// no more than itself, as often as from the one that knows.
+BOOST_AUTO_TEST_CASE(peers_that_are_behind_too_do_not_hide_the_newest) {
+  World world(4, 21620);
+  for (int i = 0; i < 4; ++i) world.Publish(i, kSafe);
+  BOOST_TEST(world.Until([&] { return world.nodes[3]->peers_up() == 3; }));
+  world.feeds[0]->events->OnConfig("7 s 900 safe 2");
+  for (size_t i = 1; i < 4; ++i) {
+    BOOST_TEST(world.Until(
+        [&] { return world.nodes[i]->config_version() == 7U; }, Millis(2000)));
+  }
+}
+
 // The node whose upstream closes without an answer: a repeatable request is
 // sent once more, to the other; an order is not.
 BOOST_AUTO_TEST_CASE(only_repeatable_requests_are_sent_again) {
