--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -39,13 +39,15 @@
 
 Dispatcher::Dispatcher(loop::Timers& timers, const Dialect& dialect,
                        DispatcherOptions options, GateServer& gate,
-                       Admission& admission, EventLog& log, uint64_t seed)
+                       Admission& admission, EventLog& log, Metrics& metrics,
+                       uint64_t seed)
     : timers_(timers),
       dialect_(dialect),
       options_(std::move(options)),
       gate_(gate),
       admission_(admission),
       log_(log),
+      metrics_(metrics),
       splitter_(seed),
       budget_(routes::RetryBudgetOptions()),
       directory_([this] {
@@ -269,8 +271,10 @@
 bool Dispatcher::MayRepeat(EntryCall& call) {
   if (call.arrivals >= call.route->max_attempts) return false;
   if (Candidates(call, /*any=*/false).empty()) return false;
-  return budget_.Take(admission_.RepeatCosts(call.route->name, call.service),
-                      timers_.Now());
+  auto costs = admission_.RepeatCosts(call.route->name, call.service);
+  if (!budget_.Take(costs, timers_.Now())) return false;
+  metrics_.OnRepeat();
+  return true;
 }
 
 void Dispatcher::OnNotRun(EntryCall& call, const peers::Answer& answer) {
@@ -306,6 +310,8 @@
 void Dispatcher::Finish(EntryCall& call, http::Response response,
                         const std::string& why) {
   Log(call, response.status, why);
+  metrics_.OnEntryEnd(call.inner, response.status, why,
+                      timers_.Now() - call.arrived);
   auto it = calls_.find(call.id);
   EntryCallPtr owned = std::move(it->second);
   calls_.erase(it);
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -32,6 +32,7 @@
 #include "almondwind/sidecar/environment.h"
 #include "almondwind/sidecar/event_log.h"
 #include "almondwind/sidecar/gate_server.h"
+#include "almondwind/sidecar/metrics.h"
 #include "almondwind/zones/directory.h"
 #include "almondwind/zones/picker.h"
 
@@ -109,7 +110,7 @@
  public:
   Dispatcher(loop::Timers& timers, const Dialect& dialect,
              DispatcherOptions options, GateServer& gate, Admission& admission,
-             EventLog& log, uint64_t seed);
+             EventLog& log, Metrics& metrics, uint64_t seed);
   ~Dispatcher();
 
   void Attach(peers::Mesh& mesh) { mesh_ = &mesh; }
@@ -167,6 +168,7 @@
   GateServer& gate_;
   Admission& admission_;
   EventLog& log_;
+  Metrics& metrics_;
   peers::Mesh* mesh_ = nullptr;
   routes::RouteTablePtr table_;
   routes::Splitter splitter_;
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -103,6 +103,7 @@
   std::string links;     // "ip:port" for links of peers
   std::string ready;     // "ip:port" at which readiness is asked for
   std::string store;     // "ip:port" of the platform's store
+  std::string metrics;   // "ip:port" of the metrics; empty: none
   uint16_t peer_port = 0;  // of the links of every other node
   base::Millis stop_grace{6000};  // from SIGTERM until the process is killed
   routes::RetryBudgetOptions retry_budget;
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -66,11 +66,12 @@
 
 GateServer::GateServer(loop::Timers& timers, const Dialect& dialect,
                        const GateServerOptions& options, EventLog& log,
-                       RunObserver& observer)
+                       Metrics& metrics, RunObserver& observer)
     : timers_(timers),
       dialect_(dialect),
       options_(options),
       log_(log),
+      metrics_(metrics),
       observer_(observer),
       gate_(std::make_unique<machines::Gate>(kUnknownSlots, kManyConnections,
                                              options.gate, *this)),
@@ -192,6 +193,11 @@
   answer.id = run.key.second;
   answer.load = Load();
   LogEnd(run, answer);
+  Millis until =
+      run.run->started > Millis(0) ? run.run->started : timers_.Now();
+  metrics_.OnGateEnd(static_cast<Outcome>(answer.outcome),
+                     static_cast<Reason>(answer.reason),
+                     until - run.run->enqueued);
   if (!run.abandoned) run.reply(std::move(answer));
 }
 
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -25,6 +25,7 @@
 #include "almondwind/peers/frames.h"
 #include "almondwind/sidecar/environment.h"
 #include "almondwind/sidecar/event_log.h"
+#include "almondwind/sidecar/metrics.h"
 #include "almondwind/sidecar/upstream_pool.h"
 
 namespace almondwind::sidecar {
@@ -64,7 +65,7 @@
 class GateServer : public machines::GateEvents, public UpstreamPoolEvents {
  public:
   GateServer(loop::Timers& timers, const Dialect& dialect,
-             const GateServerOptions& options, EventLog& log,
+             const GateServerOptions& options, EventLog& log, Metrics& metrics,
              RunObserver& observer);
   ~GateServer() override;
 
@@ -109,6 +110,7 @@
   const Dialect& dialect_;
   const GateServerOptions options_;
   EventLog& log_;
+  Metrics& metrics_;
   RunObserver& observer_;
   UpstreamPool* pool_ = nullptr;
   std::unique_ptr<machines::Gate> gate_;
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -76,10 +76,11 @@
       started_(timers.Now()),
       view_(fleet::ViewOptions()),
       traffic_(TrafficOptions(), timers.clock()),
-      gate_(timers, environment.dialect, GateServerOptions(), log, traffic_),
+      gate_(timers, environment.dialect, GateServerOptions(), log, metrics_,
+            traffic_),
       pool_(io, timers, environment.dialect, PoolOptionsFrom(settings), gate_),
       dispatcher_(timers, environment.dialect, DispatcherOptionsFrom(settings),
-                  gate_, traffic_, log, incarnation),
+                  gate_, traffic_, log, metrics_, incarnation),
       mesh_(io, timers, MeshOptionsFrom(settings, incarnation,
                                         environment.dialect), *this),
       callers_(io, timers, CallerOptionsFrom(settings), dispatcher_),
@@ -93,6 +94,11 @@
   pool_.SetAddress(settings.upstream);
   dispatcher_.Attach(mesh_);
   dispatcher_.retry_budget().Configure(settings.retry_budget);
+  if (!settings.metrics.empty()) {
+    metrics_pages_ = std::make_unique<PageServer>(
+        io, timers, settings.metrics,
+        [this](const http::Request&) { return MetricsPage(); });
+  }
 }
 
 Node::~Node() = default;
@@ -350,6 +356,18 @@
   return response;
 }
 
+http::Response Node::MetricsPage() {
+  links::Load load = gate_.Load();
+  metrics_.SetGauges(load.in_progress, load.limit, mesh_.links().size(),
+                     config_version());
+  http::Response response;
+  response.status = 200;
+  response.reason = http::ReasonPhrase(response.status);
+  response.headers.Add("Content-Type", "text/plain; version=0.0.4");
+  response.body = metrics_.Text();
+  return response;
+}
+
 void Node::Reload() {
   try {
     Settings settings = environment_.settings.Read();
@@ -400,6 +418,7 @@
     environment_.feed.Stop();
     mesh_.Close();
     pages_.Close();
+    if (metrics_pages_ != nullptr) metrics_pages_->Close();
     return stop_done_(idle);
   }
   stop_poll_.Start(kStopPoll, [this] { PollStop(); });
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -89,6 +89,7 @@
   void OnAsk(peers::Link& link, const peers::Ask& ask);
   void OnDocument(const peers::Document& document);
   http::Response Page(const http::Request& request);
+  http::Response MetricsPage();
   void PollSettings();
   void PollStop();
   void PlanAdmission();
@@ -102,6 +103,7 @@
   fleet::View view_;
   routes::RouteTablePtr table_;
   std::string config_document_;
+  Metrics metrics_;
   Traffic traffic_;
   GateServer gate_;
   UpstreamPool pool_;
@@ -109,6 +111,7 @@
   peers::Mesh mesh_;
   CallerServer callers_;
   PageServer pages_;
+  std::unique_ptr<PageServer> metrics_pages_;
   loop::Timer sweep_;
   loop::Timer settings_poll_;
   loop::Timer stop_poll_;
