Learn from failed runs what a route calls

Cause: only completed runs taught a route's calls. Ruled out: start of nodes and links (30 ms), ejections.

--- a/almondwind/graph/run_tracker.cc
+++ b/almondwind/graph/run_tracker.cc
@@ -51,21 +51,32 @@
   if (stats_.size() >= kMaxRoutes && stats_.count(ended.route) == 0) return;
   RouteStats& stats = stats_[ended.route];
   stats.runs.Add(1, now, options_.memory);
-  // A run that failed may have ended before its calls; its time says little.
-  if (!completed && stats.samples > 0) return;
-  ++stats.samples;
-  double weight = Weight(options_.smoothing, stats.samples);
-  stats.slot_ms +=
-      weight * (static_cast<double>(took.count()) - stats.slot_ms);
-  weight = Weight(options_.net_smoothing, stats.samples);
-  for (const auto& [callee, count] : ended.net) stats.net[callee];
-  for (auto& [callee, mean] : stats.net) {
-    auto found = ended.net.find(callee);
-    double count = found == ended.net.end() ? 0 : found->second;
+  Learn(completed ? stats.completed : stats.failed, ended, took);
+}
+
+void RunTracker::Learn(Means& means, const Run& run, Millis took) const {
+  ++means.samples;
+  double weight = Weight(options_.smoothing, means.samples);
+  means.slot_ms +=
+      weight * (static_cast<double>(took.count()) - means.slot_ms);
+  weight = Weight(options_.net_smoothing, means.samples);
+  for (const auto& [callee, count] : run.net) means.net[callee];
+  for (auto& [callee, mean] : means.net) {
+    auto found = run.net.find(callee);
+    double count = found == run.net.end() ? 0 : found->second;
     mean += weight * (count - mean);
   }
 }
 
+double RunTracker::RouteStats::Net(const std::string& callee) const {
+  double most = 0;
+  for (const Means* means : {&completed, &failed}) {
+    auto it = means->net.find(callee);
+    if (it != means->net.end()) most = std::max(most, it->second);
+  }
+  return most;
+}
+
 Match RunTracker::Find(const std::string& route, Millis deadline) const {
   // A request is read later than it was sent, never earlier, so the deadline
   // computed from it errs to the late side.
@@ -78,10 +89,7 @@
     const Run& run = runs_.at(it->second);
     double weight = 0;
     auto stats = stats_.find(run.route);
-    if (stats != stats_.end()) {
-      auto net = stats->second.net.find(route);
-      if (net != stats->second.net.end()) weight = std::max(0.0, net->second);
-    }
+    if (stats != stats_.end()) weight = stats->second.Net(route);
     if (it->first <= exact_until) weight *= kExactWeight;
     if (best != nullptr && weight <= best_weight) continue;
     best = &run;
@@ -125,9 +133,7 @@
   double calls = of.calls.Now(now, options_.memory);
   double net = of.net.Now(now, options_.memory);
   if (net < options_.min_exact * calls) return calls / std::max(1.0, runs);
-  auto mean = stats.net.find(callee);
-  if (mean == stats.net.end()) return 0;
-  return std::max(0.0, mean->second) * std::max(1.0, calls / net);
+  return stats.Net(callee) * std::max(1.0, calls / net);
 }
 
 std::vector<peers::RouteCost> RunTracker::Costs(Millis now) const {
@@ -144,7 +150,9 @@
     if (runs < kMinRuns) continue;
     peers::RouteCost cost;
     cost.route = route;
-    cost.slot_ms = stats.slot_ms;
+    const Means& means =
+        stats.completed.samples > 0 ? stats.completed : stats.failed;
+    cost.slot_ms = means.slot_ms;
     cost.runs_per_s =
         runs * 1000 / static_cast<double>(options_.memory.count());
     for (const auto& [callee, counts] : callees_) {
--- a/almondwind/graph/run_tracker.h
+++ b/almondwind/graph/run_tracker.h
@@ -95,11 +95,22 @@
     Fading calls;
     Fading net;  // of them, with the deadline of a run, less those by chance
   };
-  struct RouteStats {
+  // Means over runs of a route.
+  struct Means {
+    int samples = 0;
     double slot_ms = 0;
+    std::map<std::string, double> net;  // calls of a run, by called route
+  };
+  struct RouteStats {
     Fading runs;
-    int samples = 0;
-    std::map<std::string, double> net;  // of a completed run, by called route
+    Means completed;
+    // A run that fails makes a part of its calls only. While none completes,
+    // this part still says that the route makes them: without it, a route that
+    // overload lets fail would seem to cost nothing and be let in for ever.
+    Means failed;
+
+    // The calls of `callee` by the larger of the two.
+    double Net(const std::string& callee) const;
   };
 
   // Adds `amount` to all runs with deadlines from `from` to `to`; returns how
@@ -108,6 +119,7 @@
            int amount);
   double CallsOf(const RouteStats& stats, const std::string& callee,
                  double runs, base::Millis now) const;
+  void Learn(Means& means, const Run& run, base::Millis took) const;
 
   const RunTrackerOptions options_;
   std::unordered_map<uint64_t, Run> runs_;
--- a/almondwind/graph/testing/graph_test.cc
+++ b/almondwind/graph/testing/graph_test.cc
@@ -215,6 +215,24 @@
   BOOST_TEST(plan.share("browse") == 1);
 }
 
+// All processes were killed under load: a fresh node sees only runs that fail,
+// each after its first call or two. What they cost must be known all the same,
+// or they are let in until nothing completes.
+BOOST_AUTO_TEST_CASE(runs_that_fail_teach_what_their_route_calls) {
+  RunTracker tracker({});
+  for (uint64_t run = 1; run <= 200; ++run) {
+    auto t = static_cast<int64_t>(1000 + run * 20);
+    tracker.Start(run, "browse", RequestClass::kNormal, Millis(t + 800));
+    // The very first fails before it calls anything.
+    if (run > 1) tracker.Count("lookup", Millis(t + 801), Millis(t + 5));
+    tracker.End(run, /*completed=*/false, Millis(15), Millis(t + 15));
+  }
+  std::vector<RouteCost> costs = tracker.Costs(Millis(5000));
+  BOOST_REQUIRE(costs.size() == 1U);
+  BOOST_REQUIRE(costs[0].calls.size() == 1U);
+  BOOST_TEST(costs[0].calls[0].second > 0.8);
+}
+
 // Runs of two routes on one host: surveys make four calls each, one after the
 // other; downloads make none and outlive most calls. A call ends with its
 // parent or after 450 ms, whichever is first, so many calls carry no parent's
