--- a/almondwind/graph/admission.cc
+++ b/almondwind/graph/admission.cc
@@ -61,61 +61,79 @@
   }
 }
 
-// The claims that cost `scarce` the least for a request, and those of about
-// the same cost.
-std::vector<AdmissionPlan::Claim*> AdmissionPlan::Cheapest(
+double AdmissionPlan::Claim::CostAt(const std::string& service) const {
+  auto it = slots.find(service);
+  return it == slots.end() ? 0 : it->second / std::max(per_s, kMinRate);
+}
+
+std::string AdmissionPlan::Scarcest(const std::vector<Claim*>& claims,
+                                    const Slots& left, double& share) {
+  Slots wanted;
+  for (const Claim* claim : claims) {
+    for (const auto& [service, slots] : claim->slots) wanted[service] += slots;
+  }
+  std::string scarce;
+  share = 1;
+  for (const auto& [service, slots] : wanted) {
+    auto room = left.find(service);
+    if (room == left.end() || slots < kMinSlots) continue;
+    double fits = std::max(0.0, room->second) / slots;
+    if (fits >= share) continue;
+    share = fits;
+    scarce = service;
+  }
+  return scarce;
+}
+
+// The priority with which a route is served: its own or, if it costs the scarce
+// service far less than a more important route, that one's.
+int AdmissionPlan::RankOf(const Claim& claim, const std::vector<Claim*>& all,
+                          const std::string& scarce) const {
+  int rank = claim.route->priority;
+  for (const Claim* other : all) {
+    if (other->route->priority >= rank) continue;
+    double cost = other->CostAt(scarce);
+    if (cost > 0 && claim.CostAt(scarce) <= options_.far_less * cost) {
+      rank = other->route->priority;
+    }
+  }
+  return rank;
+}
+
+// The claims that cost `scarce` next to nothing beside the dearest.
+std::vector<AdmissionPlan::Claim*> AdmissionPlan::Negligible(
     const std::vector<Claim*>& peers, const std::string& scarce) const {
-  auto cost = [&scarce](const Claim& claim) {
-    auto it = claim.slots.find(scarce);
-    double slots = it == claim.slots.end() ? 0 : it->second;
-    return slots / std::max(claim.per_s, kMinRate);
-  };
-  double least = std::numeric_limits<double>::infinity();
-  for (const Claim* claim : peers) least = std::min(least, cost(*claim));
+  double most = 0;
+  for (const Claim* claim : peers) most = std::max(most, claim->CostAt(scarce));
   std::vector<Claim*> out;
   for (Claim* claim : peers) {
-    if (cost(*claim) <= least * options_.alike) out.push_back(claim);
+    if (claim->CostAt(scarce) <= options_.negligible * most) {
+      out.push_back(claim);
+    }
   }
   return out;
 }
 
-// Grants routes of one priority their claims. While a service has no room for
-// all, the cheapest there are granted first, scaled down alike if need be.
-void AdmissionPlan::Grant(std::vector<Claim*> peers,
-                          std::map<std::string, double>& left) {
+// Grants routes of one rank their claims. While a service has no room for all,
+// those that hardly need it are granted first; the rest is scaled down alike.
+void AdmissionPlan::Grant(std::vector<Claim*> peers, Slots& left) {
   while (!peers.empty()) {
     std::vector<Claim*> group = peers;
     double share = 1;
-    std::string scarce;
-    // Narrows the group until it is granted whole or cannot be narrowed.
-    for (;;) {
-      std::map<std::string, double> wanted;
-      for (const Claim* claim : group) {
-        for (const auto& [service, slots] : claim->slots) {
-          wanted[service] += slots;
-        }
-      }
-      share = 1;
-      for (const auto& [service, slots] : wanted) {
-        auto room = left.find(service);
-        if (room == left.end() || slots < kMinSlots) continue;
-        double fits = std::max(0.0, room->second) / slots;
-        if (fits >= share) continue;
-        share = fits;
-        scarce = service;
-      }
-      if (share >= 1) break;
-      std::vector<Claim*> cheapest = Cheapest(group, scarce);
-      if (cheapest.size() == group.size()) break;
-      group = std::move(cheapest);
+    std::string scarce = Scarcest(group, left, share);
+    while (!scarce.empty()) {
+      std::vector<Claim*> first = Negligible(group, scarce);
+      if (first.empty() || first.size() == group.size()) break;
+      group = std::move(first);
+      scarce = Scarcest(group, left, share);
     }
     for (Claim* claim : group) {
       RoutePlan& plan = plans_[claim->route->name];
-      plan.share = share;
+      plan.share = std::max(share, options_.min_share);
       plan.bound_by = scarce;
       for (const auto& [service, slots] : claim->slots) {
         auto room = left.find(service);
-        if (room != left.end()) room->second -= slots * share;
+        if (room != left.end()) room->second -= slots * plan.share;
       }
       peers.erase(std::find(peers.begin(), peers.end(), claim));
     }
@@ -125,7 +143,7 @@
 void AdmissionPlan::Plan(const routes::RouteTable& routes, CostTable& costs,
                          Millis now) {
   Correct();
-  std::map<std::string, double> left;
+  Slots left;
   for (const auto& [service, room] : rooms_) {
     if (room.slots > 0) {
       left[service] = room.slots * options_.fill * factors_[service];
@@ -133,15 +151,19 @@
   }
   std::vector<Claim> claims = Claims(routes, costs, now);
   wanted_.clear();
-  for (const Claim& claim : claims) {
+  std::vector<Claim*> all;
+  for (Claim& claim : claims) {
+    all.push_back(&claim);
     for (const auto& [service, slots] : claim.slots) wanted_[service] += slots;
   }
-  std::map<int, std::vector<Claim*>> by_priority;
-  for (Claim& claim : claims) {
-    by_priority[claim.route->priority].push_back(&claim);
+  double share = 1;
+  std::string scarce = Scarcest(all, left, share);
+  std::map<int, std::vector<Claim*>> by_rank;
+  for (Claim* claim : all) {
+    by_rank[RankOf(*claim, all, scarce)].push_back(claim);
   }
   for (auto& [name, plan] : plans_) plan.share = 1;
-  for (auto& [priority, peers] : by_priority) Grant(std::move(peers), left);
+  for (auto& [rank, peers] : by_rank) Grant(std::move(peers), left);
 }
 
 bool AdmissionPlan::Enter(const std::string& route) {
--- a/almondwind/graph/admission.h
+++ b/almondwind/graph/admission.h
@@ -5,8 +5,11 @@
 // belongs at the entry, before any work. From the room of every service and
 // the demand and cost of every route the plan follows: routes are served in
 // the order of their priority, each gets what it asks for while there is room;
-// routes of one priority share alike what is left, those first that cost the
-// scarce service far less than the others. All entries compute it
+// routes of one priority share alike what is left. Two exceptions follow from
+// cost: a route that costs the scarce service next to nothing goes first, and a
+// route that costs it far less than a more important one is served as often as
+// that one, for refusing it would hardly make room. No route is shut out: a few
+// requests always enter, or its cost could never be learned anew. All entries compute it
 // from the same reports, so callers of all zones are treated alike.
 //
 // Costs are measured and capacity changes faster than its measurement, so a
@@ -48,10 +51,14 @@
   double step = 0.03;
   double min_factor = 0.6;
   double max_factor = 1.15;
-  // Routes of one priority whose costs at the scarce service are within this
-  // factor share its room alike; cheaper ones go first, since the same room
-  // serves more of them.
-  double alike = 3;
+  // Cost at the scarce service, as a share of the dearest route's of the same
+  // rank, up to which a route goes first.
+  double negligible = 0.15;
+  // Cost at the scarce service, as a share of a more important route's, up to
+  // which a route is ranked with it.
+  double far_less = 0.34;
+  // Share of a route's requests that always enters.
+  double min_share = 0.03;
   base::Millis demand_life{2500};  // of a node's report
 };
 
@@ -101,14 +108,24 @@
     const routes::Route* route = nullptr;
     double per_s = 0;
     std::map<std::string, double> slots;  // that it would fill, by service
+
+    // Slots of `service` that one request a second fills.
+    double CostAt(const std::string& service) const;
   };
+  using Slots = std::map<std::string, double>;  // by service
 
   std::vector<Claim> Claims(const routes::RouteTable& routes, CostTable& costs,
                             base::Millis now);
   void Correct();
-  void Grant(std::vector<Claim*> peers, std::map<std::string, double>& left);
-  std::vector<Claim*> Cheapest(const std::vector<Claim*>& peers,
-                               const std::string& scarce) const;
+  // The service whose room is the smallest share of what `claims` want, if
+  // that is less than all of it; sets `share`.
+  static std::string Scarcest(const std::vector<Claim*>& claims,
+                              const Slots& left, double& share);
+  int RankOf(const Claim& claim, const std::vector<Claim*>& all,
+             const std::string& scarce) const;
+  void Grant(std::vector<Claim*> peers, Slots& left);
+  std::vector<Claim*> Negligible(const std::vector<Claim*>& peers,
+                                 const std::string& scarce) const;
 
   const AdmissionOptions options_;
   std::map<std::string, Room> rooms_;
--- a/almondwind/graph/run_tracker.cc
+++ b/almondwind/graph/run_tracker.cc
@@ -14,6 +14,9 @@
 // another run of the same route.
 constexpr double kExactWeight = 20;
 
+// Completed runs after which failed ones teach nothing more.
+constexpr int kEnoughSamples = 30;
+
 // The mean is taken over the first runs, then smoothed.
 double Weight(double smoothing, int samples) {
   return std::max(smoothing, 1.0 / samples);
@@ -71,6 +74,7 @@
 double RunTracker::RouteStats::Net(const std::string& callee) const {
   double most = 0;
   for (const Means* means : {&completed, &failed}) {
+    if (means == &failed && completed.samples >= kEnoughSamples) continue;
     auto it = means->net.find(callee);
     if (it != means->net.end()) most = std::max(most, it->second);
   }
@@ -133,7 +137,8 @@
   double calls = of.calls.Now(now, options_.memory);
   double net = of.net.Now(now, options_.memory);
   if (net < options_.min_exact * calls) return calls / std::max(1.0, runs);
-  return stats.Net(callee) * std::max(1.0, calls / net);
+  double own = stats.Net(callee);
+  return own < options_.min_net ? 0 : own * std::max(1.0, calls / net);
 }
 
 std::vector<peers::RouteCost> RunTracker::Costs(Millis now) const {
--- a/almondwind/graph/run_tracker.h
+++ b/almondwind/graph/run_tracker.h
@@ -37,17 +37,20 @@
   // How much earlier or later than its parent's a call's deadline may be: both
   // are rounded to 1 ms, and the request waits some ms to be read.
   base::Millis early{1};
-  base::Millis late{4};
+  base::Millis late{3};
   // From the end of that window to the one beside it.
   base::Millis aside{25};
   double smoothing = 0.03;  // weight of the newest run in its route's time
   // The same for its calls, of which chance adds and takes some.
-  double net_smoothing = 0.004;
+  double net_smoothing = 0.006;
   // Time over which calls are counted.
   base::Millis memory{15'000};
   // Below this share of calls with a parent's deadline, routes cannot be told
   // apart, and all are taken to make the calls alike.
-  double min_exact = 0.03;
+  double min_exact = 0.08;
+  // Calls with the deadline of a run, on average, from which a route is taken
+  // to make them; less may be chance.
+  double min_net = 0.12;
 };
 
 // What a request may belong to.
--- a/almondwind/graph/testing/graph_test.cc
+++ b/almondwind/graph/testing/graph_test.cc
@@ -164,6 +164,29 @@
   BOOST_TEST(plan.share("browse") > 0.5);
 }
 
+// So little is left of the last service that not even the most important route
+// fits. A comparison costs a fifth of a quote there: it is served as often as
+// quotes, not less and not more. Browses wait, but for a few.
+BOOST_AUTO_TEST_CASE(a_cheap_route_is_served_as_often_as_a_dear_one_above_it) {
+  AdmissionPlan plan({});
+  CostTable costs({});
+  Millis now(1000);
+  ReportChain(costs, now);
+  plan.SetRooms(Rooms(15));
+  plan.SetDemand("e",
+                 {{"browse", 90.0}, {"quote", 100.0}, {"compare", 60.0},
+                  {"download", 70.0}},
+                 now);
+  plan.Plan(*ChainRoutes(), costs, now);
+  BOOST_TEST(plan.share("quote") > 0.4);
+  BOOST_TEST(plan.share("quote") < 0.6);
+  BOOST_TEST(plan.share("compare") == plan.share("quote"));
+  BOOST_TEST(plan.share("download") == 1);
+  int browses = Entered(plan, "browse", 1000);
+  BOOST_TEST(browses >= 20);
+  BOOST_TEST(browses <= 40);
+}
+
 BOOST_AUTO_TEST_CASE(a_calm_day_is_not_touched) {
   AdmissionPlan plan({});
   CostTable costs({});
