--- a/almondwind/fleet/list_format.cc
+++ b/almondwind/fleet/list_format.cc
@@ -32,8 +32,8 @@
     for (const Row& row : handle.get().as<std::vector<Row>>()) {
       Upstream u;
       int64_t cold_ms = 0;
-      std::tie(u.id, u.service, u.address, u.zone, u.slots, u.draining,
-               cold_ms, u.started_at, u.revision) = row;
+      std::tie(u.id, u.service, u.address, u.zone, u.slots, u.draining, cold_ms,
+               u.started_at, u.revision) = row;
       u.cold_left = base::Millis(cold_ms);
       out.push_back(std::move(u));
     }
--- a/almondwind/graph/admission.cc
+++ b/almondwind/graph/admission.cc
@@ -52,9 +52,8 @@
   for (const auto& [service, room] : rooms_) {
     double& wait = waits_[service];
     wait += options_.wait_smoothing * (room.wait_ms - wait);
-    double target =
-        std::max(static_cast<double>(options_.wait_target.count()),
-                 options_.wait_share * room.slot_ms);
+    double target = std::max(static_cast<double>(options_.wait_target.count()),
+                             options_.wait_share * room.slot_ms);
     double& factor = factors_.try_emplace(service, 1).first->second;
     factor += options_.step * std::clamp((target - wait) / target, -1.0, 1.0);
     factor = std::clamp(factor, options_.min_factor, options_.max_factor);
--- a/almondwind/graph/admission.h
+++ b/almondwind/graph/admission.h
@@ -9,8 +9,8 @@
 // cost: a route that costs the scarce service next to nothing goes first, and a
 // route that costs it far less than a more important one is served as often as
 // that one, for refusing it would hardly make room. No route is shut out: a few
-// requests always enter, or its cost could never be learned anew. All entries compute it
-// from the same reports, so callers of all zones are treated alike.
+// requests always enter, or its cost could never be learned anew. All entries
+// compute it from the same reports, so callers of all zones are treated alike.
 //
 // Costs are measured and capacity changes faster than its measurement, so a
 // factor for each service corrects the plan: it falls while requests wait
@@ -75,7 +75,9 @@
 
   explicit AdmissionPlan(const AdmissionOptions& options) : options_(options) {}
 
-  void SetRooms(std::map<std::string, Room> rooms) { rooms_ = std::move(rooms); }
+  void SetRooms(std::map<std::string, Room> rooms) {
+    rooms_ = std::move(rooms);
+  }
   // Requests a second, by route, that came to `node`.
   void SetDemand(const std::string& node, const Demand& demand,
                  base::Millis now);
--- a/almondwind/graph/run_tracker.cc
+++ b/almondwind/graph/run_tracker.cc
@@ -60,8 +60,7 @@
 void RunTracker::Learn(Means& means, const Run& run, Millis took) const {
   ++means.samples;
   double weight = Weight(options_.smoothing, means.samples);
-  means.slot_ms +=
-      weight * (static_cast<double>(took.count()) - means.slot_ms);
+  means.slot_ms += weight * (static_cast<double>(took.count()) - means.slot_ms);
   weight = Weight(options_.net_smoothing, means.samples);
   for (const auto& [callee, count] : run.net) means.net[callee];
   for (auto& [callee, mean] : means.net) {
--- a/almondwind/graph/testing/graph_test.cc
+++ b/almondwind/graph/testing/graph_test.cc
@@ -40,7 +40,9 @@
        MakeRoute("download", "drawings", 2), MakeRoute("compare", "pricing", 1),
        MakeRoute("lookup", "quotations", 2), MakeRoute("survey", "drawings", 2),
        MakeRoute("rates", "pricing", 2)},
-      {{"catalogue", "", 0}, {"quotations", "", 0}, {"drawings", "", 0},
+      {{"catalogue", "", 0},
+       {"quotations", "", 0},
+       {"drawings", "", 0},
        {"pricing", "", 0}},
       {});
 }
@@ -51,11 +53,11 @@
                {{"quote", 300, 50, {{"survey", 2}}},
                 {"lookup", 160, 180, {{"survey", 1}}}},
                now);
-  costs.Report("n3", "drawings",
-               {{"download", 300, 40, {}}, {"survey", 140, 300, {{"rates", 4}}}},
-               now);
-  costs.Report("n4", "pricing", {{"compare", 48, 33, {}}, {"rates", 30, 1200, {}}},
-               now);
+  costs.Report(
+      "n3", "drawings",
+      {{"download", 300, 40, {}}, {"survey", 140, 300, {{"rates", 4}}}}, now);
+  costs.Report("n4", "pricing",
+               {{"compare", 48, 33, {}}, {"rates", 30, 1200, {}}}, now);
 }
 
 std::map<std::string, Room> Rooms(double pricing_slots) {
@@ -174,7 +176,9 @@
   ReportChain(costs, now);
   plan.SetRooms(Rooms(15));
   plan.SetDemand("e",
-                 {{"browse", 90.0}, {"quote", 100.0}, {"compare", 60.0},
+                 {{"browse", 90.0},
+                  {"quote", 100.0},
+                  {"compare", 60.0},
                   {"download", 70.0}},
                  now);
   plan.Plan(*ChainRoutes(), costs, now);
@@ -285,8 +289,8 @@
       auto timeout = static_cast<int64_t>(500 + random() % 300);
       int64_t slow = t / 3000 % 2 == 0 ? 1 : 3;
       int64_t length = survey ? 160 * slow : 400;
-      live.push_back({next, t + timeout, t + length, t + 20, 40 * slow,
-                      survey ? 4 : 0});
+      live.push_back(
+          {next, t + timeout, t + length, t + 20, 40 * slow, survey ? 4 : 0});
       tracker.Start(next++, survey ? "survey" : "download",
                     RequestClass::kNormal, Millis(t + timeout));
     }
@@ -300,11 +304,11 @@
       if (l.calls_left > 0 && t >= l.next_call) {
         int64_t late = static_cast<int64_t>(random() % 3);  // read that late
         ++calls;
-        Match match = tracker.Find(
-            "rates", Millis(std::min(l.deadline, t + 450) + late));
+        Match match =
+            tracker.Find("rates", Millis(std::min(l.deadline, t + 450) + late));
         orphan_calls += match.orphan;
-        tracker.Count(
-            "rates", Millis(std::min(l.deadline, t + 450) + late), Millis(t));
+        tracker.Count("rates", Millis(std::min(l.deadline, t + 450) + late),
+                      Millis(t));
         --l.calls_left;
         l.next_call += l.gap;
       }
--- a/almondwind/http/message.cc
+++ b/almondwind/http/message.cc
@@ -2,11 +2,10 @@
 
 #include <algorithm>
 #include <array>
-#include <ostream>  // Beast's headers use it
-
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
+#include <ostream>  // Beast's headers use it
 
 namespace almondwind::http {
 namespace {
@@ -14,9 +13,9 @@
 namespace beast = boost::beast;
 
 constexpr std::array<std::string_view, 9> kConnectionFields = {
-    "Connection", "Keep-Alive",       "Proxy-Connection",
-    "TE",         "Trailer",          "Transfer-Encoding",
-    "Upgrade",    "Content-Length",   "Proxy-Authenticate"};
+    "Connection", "Keep-Alive",     "Proxy-Connection",
+    "TE",         "Trailer",        "Transfer-Encoding",
+    "Upgrade",    "Content-Length", "Proxy-Authenticate"};
 
 beast::string_view View(std::string_view text) {
   return {text.data(), text.size()};
@@ -56,10 +55,9 @@
 }
 
 size_t Headers::Count(std::string_view name) const {
-  return static_cast<size_t>(
-      std::count_if(fields_.begin(), fields_.end(), [name](const Header& f) {
-        return EqualNoCase(f.name, name);
-      }));
+  return static_cast<size_t>(std::count_if(
+      fields_.begin(), fields_.end(),
+      [name](const Header& f) { return EqualNoCase(f.name, name); }));
 }
 
 void Headers::Remove(std::string_view name) {
@@ -74,7 +72,8 @@
   std::vector<std::string> named;
   for (const Header& field : fields_) {
     if (!EqualNoCase(field.name, "Connection")) continue;
-    for (beast::string_view token : beast::http::token_list(View(field.value))) {
+    for (beast::string_view token :
+         beast::http::token_list(View(field.value))) {
       named.emplace_back(token.data(), token.size());
     }
   }
--- a/almondwind/http/testing/reader_test.cc
+++ b/almondwind/http/testing/reader_test.cc
@@ -60,7 +60,8 @@
     "HTTP/1.1 100 Continue\r\n\r\n"
     "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
     "HTTP/1.1 204 No Content\r\n\r\n"
-    "HTTP/1.1 500 Oops\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n";
+    "HTTP/1.1 500 Oops\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n";
 
 }  // namespace
 
@@ -84,7 +85,8 @@
   std::vector<std::string> expected = {"200 ok", "204 ", "500 x"};
   BOOST_TEST(whole.messages == expected);
   for (size_t at = 0; at <= kAnswers.size(); ++at) {
-    Outcome split = ReadResponses({kAnswers.substr(0, at), kAnswers.substr(at)});
+    Outcome split =
+        ReadResponses({kAnswers.substr(0, at), kAnswers.substr(at)});
     BOOST_TEST((split == whole), "split at " << at);
   }
 }
@@ -140,19 +142,19 @@
 
 BOOST_AUTO_TEST_CASE(limits_are_told_apart) {
   ReaderOptions options{200, 10};
-  std::string long_header = "GET / HTTP/1.1\r\nHost: h\r\nX: " +
-                            std::string(400, 'x') + "\r\n\r\n";
+  std::string long_header =
+      "GET / HTTP/1.1\r\nHost: h\r\nX: " + std::string(400, 'x') + "\r\n\r\n";
   BOOST_TEST((ReadRequests({long_header}, options).last ==
               ReadState::kHeaderTooLarge));
   std::string long_body =
       "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\nhello world";
-  BOOST_TEST((ReadRequests({long_body}, options).last ==
-              ReadState::kBodyTooLarge));
+  BOOST_TEST(
+      (ReadRequests({long_body}, options).last == ReadState::kBodyTooLarge));
   std::string long_chunks =
       "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
       "8\r\nabcdefgh\r\n8\r\nabcdefgh\r\n0\r\n\r\n";
-  BOOST_TEST((ReadRequests({long_chunks}, options).last ==
-              ReadState::kBodyTooLarge));
+  BOOST_TEST(
+      (ReadRequests({long_chunks}, options).last == ReadState::kBodyTooLarge));
 }
 
 BOOST_AUTO_TEST_CASE(an_answer_that_ends_early_is_not_complete) {
@@ -170,8 +172,7 @@
       {"no last chunk",
        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n",
        ReadState::kMalformed},
-      {"half a header", "HTTP/1.1 200 OK\r\nContent-Le",
-       ReadState::kMalformed},
+      {"half a header", "HTTP/1.1 200 OK\r\nContent-Le", ReadState::kMalformed},
       {"no bytes", "", ReadState::kPartial},
       {"no length: the end completes it", "HTTP/1.1 200 OK\r\n\r\nabc",
        ReadState::kComplete},
--- a/almondwind/links/testing/http_client_test.cc
+++ b/almondwind/links/testing/http_client_test.cc
@@ -3,13 +3,13 @@
 
 #define BOOST_TEST_MODULE http_client
 #include "almondwind/links/http_client.h"
-#include "almondwind/loop/endpoint.h"
 
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
 #include <optional>
 
 #include "almondwind/links/mesh.h"
+#include "almondwind/loop/endpoint.h"
 #include "almondwind/standins/http_server.h"
 
 namespace almondwind::links {
--- a/almondwind/load/load.cc
+++ b/almondwind/load/load.cc
@@ -1,5 +1,4 @@
 #include "almondwind/load/load.h"
-#include "almondwind/loop/endpoint.h"
 
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
@@ -20,6 +19,7 @@
 #include "almondwind/links/mesh.h"
 #include "almondwind/load/mix.h"
 #include "almondwind/load/report.h"
+#include "almondwind/loop/endpoint.h"
 #include "almondwind/node/settings.h"
 
 namespace almondwind::load {
--- a/almondwind/load/probe.cc
+++ b/almondwind/load/probe.cc
@@ -1,5 +1,4 @@
 #include "almondwind/load/probe.h"
-#include "almondwind/loop/endpoint.h"
 
 #include <fmt/format.h>
 
@@ -13,6 +12,7 @@
 
 #include "almondwind/links/mesh.h"
 #include "almondwind/load/report.h"
+#include "almondwind/loop/endpoint.h"
 
 namespace almondwind::load {
 
--- a/almondwind/loop/stream.cc
+++ b/almondwind/loop/stream.cc
@@ -46,9 +46,8 @@
                        const StreamOptions& options, StreamEvents& events) {
   StreamPtr stream(new Stream(timers, Tcp::socket(io), options, events));
   stream->remote_ = endpoint;
-  stream->timer_.Start(options.dial_timeout, [stream] {
-    stream->End(StreamEnd::kUnreachable);
-  });
+  stream->timer_.Start(options.dial_timeout,
+                       [stream] { stream->End(StreamEnd::kUnreachable); });
   stream->socket_.async_connect(
       endpoint, [stream](error_code ec) { stream->OnDialled(ec); });
   return stream;
--- a/almondwind/machines/gate.cc
+++ b/almondwind/machines/gate.cc
@@ -138,7 +138,8 @@
   RequestClass cls = run->request->cls;
   if (BelowFloor(cls)) return RefuseForLoad(*run, Reason::kOverload);
   Queue& queue = queues_[QueueOf(*run)];
-  if (Wait(cls, now) > Bound(*run->request) || queue.size() >= options_.queue_entries) {
+  if (Wait(cls, now) > Bound(*run->request) ||
+      queue.size() >= options_.queue_entries) {
     return RefuseForLoad(*run, Reason::kOverload);
   }
   run->state = RunState::kQueued;
--- a/almondwind/node/caller_server.cc
+++ b/almondwind/node/caller_server.cc
@@ -1,5 +1,4 @@
 #include "almondwind/node/caller_server.h"
-#include "almondwind/loop/endpoint.h"
 
 #include <sys/socket.h>
 
@@ -16,6 +15,7 @@
 #include <vector>
 
 #include "almondwind/links/mesh.h"
+#include "almondwind/loop/endpoint.h"
 #include "almondwind/node/node.h"
 
 namespace almondwind::node {
--- a/almondwind/node/upstream_client.cc
+++ b/almondwind/node/upstream_client.cc
@@ -1,10 +1,10 @@
 #include "almondwind/node/upstream_client.h"
-#include "almondwind/loop/endpoint.h"
 
 #include <boost/beast/http/field.hpp>
 #include <utility>
 
 #include "almondwind/links/mesh.h"
+#include "almondwind/loop/endpoint.h"
 #include "almondwind/node/node.h"
 
 namespace almondwind::node {
--- a/almondwind/peers/frames.cc
+++ b/almondwind/peers/frames.cc
@@ -75,8 +75,8 @@
 }
 template <typename F>
 void Fields(F& f, Call& m) {
-  f(m.id, m.upstream, m.route, m.cls, m.idempotent, m.max_wait_ms, m.time_left_ms,
-    m.caller_service, m.method, m.target, m.headers, m.body);
+  f(m.id, m.upstream, m.route, m.cls, m.idempotent, m.max_wait_ms,
+    m.time_left_ms, m.caller_service, m.method, m.target, m.headers, m.body);
 }
 template <typename F>
 void Fields(F& f, Cancel& m) {
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -83,7 +83,7 @@
   std::string route;
   uint8_t cls = 0;  // base::RequestClass
   bool idempotent = false;
-  uint32_t max_wait_ms = 0;  // in the gate's queue
+  uint32_t max_wait_ms = 0;   // in the gate's queue
   uint32_t time_left_ms = 0;  // of the request's deadline
   std::string caller_service;
   std::string method;
@@ -124,8 +124,7 @@
   std::string text;
 };
 
-using Frame =
-    std::variant<Hello, State, Call, Cancel, Answer, Ask, Document>;
+using Frame = std::variant<Hello, State, Call, Cancel, Answer, Ask, Document>;
 
 // Header names that travel as numbers; both sides must have the same list.
 using HeaderNames = std::vector<std::string>;
--- a/almondwind/peers/mesh.cc
+++ b/almondwind/peers/mesh.cc
@@ -98,9 +98,8 @@
 
 void Mesh::Listen() {
   acceptor_ = std::make_unique<loop::Acceptor>(
-      io_, timers_, options_.address, [this](net::ip::tcp::socket socket) {
-        OnAccepted(std::move(socket));
-      });
+      io_, timers_, options_.address,
+      [this](net::ip::tcp::socket socket) { OnAccepted(std::move(socket)); });
   last_beat_ = timers_.Now();
   beat_.Start(options_.heartbeat, [this] { Beat(); });
 }
@@ -147,9 +146,8 @@
     link->heard_ = now;
     target.dialling = link;
     all_.insert(link);
-    link->stream_ = loop::Stream::Dial(io_, timers_,
-                                       loop::ParseEndpoint(address),
-                                       LinkStreamOptions(), *link);
+    link->stream_ = loop::Stream::Dial(
+        io_, timers_, loop::ParseEndpoint(address), LinkStreamOptions(), *link);
   }
   if (next >= Millis(0)) dial_.Start(next, [this] { DialMissing(); });
 }
--- a/almondwind/routes/retry_budget.cc
+++ b/almondwind/routes/retry_budget.cc
@@ -28,12 +28,14 @@
 }
 
 int64_t RetryBudget::SlotAt(Millis now) const {
-  int64_t span = std::max<int64_t>(1, options_.window.count() / int64_t{kSlots});
+  int64_t span =
+      std::max<int64_t>(1, options_.window.count() / int64_t{kSlots});
   return now.count() / span;
 }
 
 double RetryBudget::Left(Account& account, int64_t slot) const {
-  double share = options_.slack / static_cast<double>(std::max<size_t>(1, nodes_));
+  double share =
+      options_.slack / static_cast<double>(std::max<size_t>(1, nodes_));
   double allowed =
       options_.safety * (options_.ratio * account.requests.Total(slot) + share);
   return allowed - account.repeats.Total(slot);
--- a/almondwind/routes/retry_budget.h
+++ b/almondwind/routes/retry_budget.h
@@ -29,18 +29,17 @@
 namespace almondwind::routes {
 
 struct RetryBudgetOptions {
-  double ratio = 0.2;         // of the requests in a window
+  double ratio = 0.2;  // of the requests in a window
   base::Millis window{10'000};
-  double slack = 50;          // requests a window, of all nodes together
-  double safety = 0.8;        // share of its part that a node spends
+  double slack = 50;    // requests a window, of all nodes together
+  double safety = 0.8;  // share of its part that a node spends
 };
 
 class RetryBudget {
  public:
   using Costs = std::vector<std::pair<std::string, double>>;
 
-  explicit RetryBudget(const RetryBudgetOptions& options)
-      : options_(options) {}
+  explicit RetryBudget(const RetryBudgetOptions& options) : options_(options) {}
 
   void Configure(const RetryBudgetOptions& options) { options_ = options; }
   // Nodes that share the slack, this one included.
--- a/almondwind/routes/testing/routes_test.cc
+++ b/almondwind/routes/testing/routes_test.cc
@@ -41,9 +41,9 @@
     const char* route;  // null: none
   };
   const Row rows[] = {
-      {"shop.example", "/a/b/c", "ab"},  {"SHOP.example", "/a/b/", "ab"},
-      {"shop.example:80", "/a/x", "a"},  {"shop.example", "/a", "root"},
-      {"shop.example", "/ab/", "root"},  {"other.example", "/a/", nullptr},
+      {"shop.example", "/a/b/c", "ab"}, {"SHOP.example", "/a/b/", "ab"},
+      {"shop.example:80", "/a/x", "a"}, {"shop.example", "/a", "root"},
+      {"shop.example", "/ab/", "root"}, {"other.example", "/a/", nullptr},
       {"shop.example", "/a/b", "a"},
   };
   for (const Row& row : rows) {
--- a/almondwind/sidecar/caller_server.cc
+++ b/almondwind/sidecar/caller_server.cc
@@ -39,8 +39,8 @@
         last_used_(server.timers_.Now()) {
     loop::StreamOptions options;
     options.silence = Millis(10'000);  // callers may read slowly
-    stream_ = loop::Stream::Adopt(server.timers_, std::move(socket), options,
-                                  *this);
+    stream_ =
+        loop::Stream::Adopt(server.timers_, std::move(socket), options, *this);
   }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -78,8 +78,8 @@
   // Gives a final answer of the node's own to a caller that is too slow, and
   // closes.
   void TimeOut() {
-    slots_.push_back({0, server_.dispatcher_.Own(408, Reason::kTimeout,
-                                                 Millis(0)),
+    slots_.push_back({0,
+                      server_.dispatcher_.Own(408, Reason::kTimeout, Millis(0)),
                       false, false});
     Pump();
   }
@@ -123,11 +123,10 @@
       }
       if (state != http::ReadState::kComplete) {
         broken_ = true;
-        slots_.push_back(
-            {0,
-             server_.dispatcher_.Own(StatusOf(state), ReasonOf(state),
-                                     Millis(0)),
-             false, false});
+        slots_.push_back({0,
+                          server_.dispatcher_.Own(StatusOf(state),
+                                                  ReasonOf(state), Millis(0)),
+                          false, false});
         return;
       }
       Enter(reader_.Take());
--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -109,8 +109,8 @@
     return Finish(call, Own(404, Reason::kUnknownService, Millis(0)),
                   "no_route");
   }
-  bool full = calls_.size() > options_.calls ||
-              body_bytes_ > options_.body_bytes;
+  bool full =
+      calls_.size() > options_.calls || body_bytes_ > options_.body_bytes;
   if (full) return Refuse(call, Reason::kTooManyCalls, Millis(500));
   Millis patience = call.terms.patience.value_or(options_.default_patience);
   call.deadline = call.arrived + std::min(patience, call.route->timeout);
@@ -139,7 +139,8 @@
     const std::string& link = machine->entry().link;
     if (machine->leaving() || call.tried.count(machine->name()) != 0) continue;
     if (link != options_.link && mesh_->Find(link) == nullptr) continue;
-    if (any || machine->Usable(now, options_.eject)) out.push_back(machine.get());
+    if (any || machine->Usable(now, options_.eject))
+      out.push_back(machine.get());
   }
   return out;
 }
@@ -193,8 +194,9 @@
   out.body = call.request.body;
   if (machine.entry().link == options_.link) {
     call.leg_link = 0;
-    gate_.Offer({0, out.id}, std::move(out), [this](peers::Answer answer) {
-      OnAnswer(answer.id, std::move(answer));
+    uint64_t leg = call.leg;
+    gate_.Offer({0, leg}, std::move(out), [this, leg](peers::Answer answer) {
+      OnAnswer(leg, std::move(answer));
     });
     return;
   }
@@ -204,10 +206,9 @@
 }
 
 Millis Dispatcher::MaxWait(const EntryCall& call, Millis left) const {
-  Millis wait =
-      call.inner
-          ? left * options_.inner_wait_percent / 100
-          : call.route->target_latency * options_.entry_wait_percent / 100;
+  Millis wait = call.inner ? left * options_.inner_wait_percent / 100
+                           : call.route->target_latency *
+                                 options_.entry_wait_percent / 100;
   return std::clamp(wait, Millis(1), std::max(Millis(1), left));
 }
 
@@ -235,8 +236,8 @@
   // A gate that refuses for load works; one whose upstream cannot be reached
   // does not, however idle it looks. An upstream that fails some runs is not
   // out of order: often a service below it is the cause.
-  bool working = reason != Reason::kUpstreamUnreachable &&
-                 reason != Reason::kNoHost;
+  bool working =
+      reason != Reason::kUpstreamUnreachable && reason != Reason::kNoHost;
   call.machine->OnAnswer(answer.load, working, timers_.Now(), options_.eject,
                          Jitter());
   if (answer.arrived) {
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -102,8 +102,8 @@
   virtual Entry Enter(const routes::Route& route, base::Millis deadline,
                       base::Millis now) = 0;
   // What a repeat of `route` at `service` costs each service, in requests.
-  virtual routes::RetryBudget::Costs RepeatCosts(const std::string& route,
-                                                 const std::string& service) = 0;
+  virtual routes::RetryBudget::Costs RepeatCosts(
+      const std::string& route, const std::string& service) = 0;
 };
 
 class Dispatcher {
@@ -156,8 +156,7 @@
   bool MayRepeat(EntryCall& call);
   bool FailsAlone(const EntryCall& call);
   void Refuse(EntryCall& call, base::Reason reason, base::Millis retry_after);
-  void Finish(EntryCall& call, http::Response response,
-              const std::string& why);
+  void Finish(EntryCall& call, http::Response response, const std::string& why);
   void Log(const EntryCall& call, int status, const std::string& why);
   double Jitter();
   base::Millis Spread(base::Millis delay);
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -35,10 +35,10 @@
 // What an upstream says of its answer.
 struct AnswerMarks {
   std::optional<std::string> request_id;  // of the request that it answers
-  bool sealed = false;      // the upstream vouches for the whole answer
-  bool not_run = false;     // it did not run the request
+  bool sealed = false;          // the upstream vouches for the whole answer
+  bool not_run = false;         // it did not run the request
   bool other_upstream = false;  // another upstream has the address now
-  bool encoded = false;     // the body is not the upstream's own bytes
+  bool encoded = false;         // the body is not the upstream's own bytes
   // How long the connection may stay idle, where the upstream says so.
   std::optional<base::Millis> idle_limit;
 };
@@ -97,14 +97,14 @@
   std::string node;
   std::string zone;
   std::string region;
-  std::string service;   // of the upstream beside the node
-  std::string upstream;  // "ip:port" of the upstream beside the node
-  std::string callers;   // "ip:port" for callers on this host
-  std::string links;     // "ip:port" for links of peers
-  std::string ready;     // "ip:port" at which readiness is asked for
-  std::string store;     // "ip:port" of the platform's store
-  std::string metrics;   // "ip:port" of the metrics; empty: none
-  uint16_t peer_port = 0;  // of the links of every other node
+  std::string service;            // of the upstream beside the node
+  std::string upstream;           // "ip:port" of the upstream beside the node
+  std::string callers;            // "ip:port" for callers on this host
+  std::string links;              // "ip:port" for links of peers
+  std::string ready;              // "ip:port" at which readiness is asked for
+  std::string store;              // "ip:port" of the platform's store
+  std::string metrics;            // "ip:port" of the metrics; empty: none
+  uint16_t peer_port = 0;         // of the links of every other node
   base::Millis stop_grace{6000};  // from SIGTERM until the process is killed
   routes::RetryBudgetOptions retry_budget;
   int64_t memory_bytes = 256 << 20;
--- a/almondwind/sidecar/event_log.h
+++ b/almondwind/sidecar/event_log.h
@@ -29,7 +29,7 @@
 
 struct EventLogOptions {
   std::string node;
-  int lines_per_second = 3;  // of each kind
+  int lines_per_second = 3;   // of each kind
   size_t queue_lines = 2048;  // the oldest are dropped beyond this
 };
 
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -111,8 +111,7 @@
   request->id = call.route;
   request->cls = static_cast<base::RequestClass>(call.cls);
   request->idempotent = call.idempotent;
-  request->deadline =
-      now + Millis(call.time_left_ms) - options_.refusal_margin;
+  request->deadline = now + Millis(call.time_left_ms) - options_.refusal_margin;
   request->max_wait = Millis(call.max_wait_ms);
   machines::RunPtr run(new machines::Run);
   run->id = next_run_++;
@@ -163,8 +162,7 @@
 void GateServer::Refused(machines::Run& run, Reason reason) {
   peers::Answer answer = NotRun(reason);
   links::Load load = gate_->Report(timers_.Now());
-  answer.retry_after_ms =
-      load.retry_after_ms.at(base::Index(run.request->cls));
+  answer.retry_after_ms = load.retry_after_ms.at(base::Index(run.request->cls));
   Answer(run.id, std::move(answer));
 }
 
@@ -204,17 +202,16 @@
 void GateServer::LogEnd(const GateRun& run, const peers::Answer& answer) const {
   auto outcome = static_cast<Outcome>(answer.outcome);
   if (outcome == Outcome::kAnswered || !log_.Wants("gate")) return;
-  log_.Write(
-      "gate",
-      {{"id", dialect_.ReadCaller(run.call.headers).request_id},
-       {"route", run.call.route},
-       {"upstream", run.call.upstream},
-       {"outcome", base::NameOf(base::kOutcomeNames, outcome)},
-       {"reason", base::ReasonName(static_cast<Reason>(answer.reason))},
-       {"in_progress", answer.load.in_progress},
-       {"limit", answer.load.limit},
-       {"queued", gate_->queued()},
-       {"time_left_ms", run.call.time_left_ms}});
+  log_.Write("gate",
+             {{"id", dialect_.ReadCaller(run.call.headers).request_id},
+              {"route", run.call.route},
+              {"upstream", run.call.upstream},
+              {"outcome", base::NameOf(base::kOutcomeNames, outcome)},
+              {"reason", base::ReasonName(static_cast<Reason>(answer.reason))},
+              {"in_progress", answer.load.in_progress},
+              {"limit", answer.load.limit},
+              {"queued", gate_->queued()},
+              {"time_left_ms", run.call.time_left_ms}});
 }
 
 void GateServer::Cancel(const CallKey& key) {
--- a/almondwind/sidecar/metrics.cc
+++ b/almondwind/sidecar/metrics.cc
@@ -23,7 +23,10 @@
 prometheus::Histogram& MakeHistogram(
     prometheus::Registry& registry, const char* name, const char* help,
     const prometheus::Histogram::BucketBoundaries& buckets) {
-  return prometheus::BuildHistogram().Name(name).Help(help).Register(registry)
+  return prometheus::BuildHistogram()
+      .Name(name)
+      .Help(help)
+      .Register(registry)
       .Add({}, buckets);
 }
 
@@ -53,8 +56,8 @@
 void Metrics::OnEntryEnd(bool inner, int status, const std::string& why,
                          base::Millis took) {
   std::string kind = inner ? "call" : "client";
-  std::string cause = why == "answered" ? std::to_string(status / 100) + "xx"
-                                        : why;
+  std::string cause =
+      why == "answered" ? std::to_string(status / 100) + "xx" : why;
   prometheus::Counter*& series = entry_series_[{kind, cause}];
   if (series == nullptr) {
     series = &entries_.Add({{"kind", kind}, {"cause", cause}});
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -68,7 +68,8 @@
 }  // namespace
 
 Node::Node(boost::asio::io_context& io, loop::Timers& timers,
-           const Settings& settings, Environment environment, uint64_t incarnation, EventLog& log)
+           const Settings& settings, Environment environment,
+           uint64_t incarnation, EventLog& log)
     : timers_(timers),
       settings_(settings),
       environment_(environment),
@@ -81,8 +82,8 @@
       pool_(io, timers, environment.dialect, PoolOptionsFrom(settings), gate_),
       dispatcher_(timers, environment.dialect, DispatcherOptionsFrom(settings),
                   gate_, traffic_, log, metrics_, incarnation),
-      mesh_(io, timers, MeshOptionsFrom(settings, incarnation,
-                                        environment.dialect), *this),
+      mesh_(io, timers,
+            MeshOptionsFrom(settings, incarnation, environment.dialect), *this),
       callers_(io, timers, CallerOptionsFrom(settings), dispatcher_),
       pages_(io, timers, settings.ready,
              [this](const http::Request& r) { return Page(r); }),
@@ -236,9 +237,8 @@
   if (auto* call = std::get_if<peers::Call>(&frame)) {
     peers::LinkPtr keep(&link);
     CallKey key{link.serial(), call->id};
-    gate_.Offer(key, std::move(*call), [keep](peers::Answer answer) {
-      keep->Send(answer);
-    });
+    gate_.Offer(key, std::move(*call),
+                [keep](peers::Answer answer) { keep->Send(answer); });
   } else if (auto* answer = std::get_if<peers::Answer>(&frame)) {
     dispatcher_.OnAnswer(answer->id, std::move(*answer));
   } else if (auto* cancel = std::get_if<peers::Cancel>(&frame)) {
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -42,7 +42,8 @@
 class Node : public FeedEvents, public peers::MeshEvents {
  public:
   Node(boost::asio::io_context& io, loop::Timers& timers,
-       const Settings& settings, Environment environment, uint64_t incarnation, EventLog& log);
+       const Settings& settings, Environment environment, uint64_t incarnation,
+       EventLog& log);
   ~Node() override;
 
   void Start();
--- a/almondwind/sidecar/page_server.cc
+++ b/almondwind/sidecar/page_server.cc
@@ -60,14 +60,13 @@
                        const std::string& listen, Handler handler)
     : timers_(timers),
       handler_(std::move(handler)),
-      acceptor_(io, timers, listen,
-                [this](boost::asio::ip::tcp::socket socket) {
-                  if (connections_.size() >= kConnections) return;
-                  auto owned =
-                      std::make_unique<Connection>(*this, std::move(socket));
-                  Connection* connection = owned.get();
-                  connections_[connection] = std::move(owned);
-                }) {}
+      acceptor_(
+          io, timers, listen, [this](boost::asio::ip::tcp::socket socket) {
+            if (connections_.size() >= kConnections) return;
+            auto owned = std::make_unique<Connection>(*this, std::move(socket));
+            Connection* connection = owned.get();
+            connections_[connection] = std::move(owned);
+          }) {}
 
 PageServer::~PageServer() = default;
 
--- a/almondwind/sidecar/testing/path_test.cc
+++ b/almondwind/sidecar/testing/path_test.cc
@@ -20,8 +20,7 @@
 
 // A world of one node that is ready.
 struct One : World {
-  explicit One(int port, const std::string& document = kSafe)
-      : World(1, port) {
+  explicit One(int port, const std::string& document = kSafe) : World(1, port) {
     Publish(0, document);
   }
   TestUpstream& upstream() { return *upstreams[0]; }
@@ -55,7 +54,8 @@
 
 BOOST_AUTO_TEST_CASE(pipelined_requests_are_answered_in_order) {
   One world(21020);
-  world.upstream().acts = {{Good("slow"), false, 200}, {Good("fast"), false, 0}};
+  world.upstream().acts = {{Good("slow"), false, 200},
+                           {Good("fast"), false, 0}};
   auto answers = world.Ask(Get("a") + Get("b") + Get("c"), 3);
   BOOST_REQUIRE(answers.size() == 3U);
   BOOST_TEST(*answers[0].headers.Find("Id") == "a");
@@ -99,11 +99,12 @@
        {"HTTP/1.1 200 OK\r\nId: {id}\r\nContent-Length: 2\r\n\r\nok", false, 0},
        502},
       {"refuses unrun",
-       {"HTTP/1.1 503 No\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+       {"HTTP/1.1 503 No\r\nId: {id}\r\nNot-Run: 1\r\nContent-Length: "
+        "0\r\n\r\n",
         false, 0},
        503},
-      {"fails", {"HTTP/1.1 500 No\r\nId: {id}\r\nContent-Length: 0\r\n\r\n",
-                 false, 0},
+      {"fails",
+       {"HTTP/1.1 500 No\r\nId: {id}\r\nContent-Length: 0\r\n\r\n", false, 0},
        500},
       {"is silent", {Good("late"), false, 3000}, 504},
   };
@@ -223,9 +224,8 @@
   BOOST_TEST(caller->answers[0].status == 200);
   // A newer configuration comes the same way; an older one does not undo it.
   world.feeds[0]->events->OnConfig("7 s 900 safe 2");
-  BOOST_TEST(world.Until([&] {
-    return world.nodes[2]->config_version() == 7U;
-  }));
+  BOOST_TEST(
+      world.Until([&] { return world.nodes[2]->config_version() == 7U; }));
   world.feeds[2]->events->OnConfig("3 s 900 safe 2");
   BOOST_TEST(world.nodes[2]->config_version() == 7U);
 }
--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -72,8 +72,8 @@
   Connection(TestUpstream& upstream, boost::asio::ip::tcp::socket socket)
       : upstream_(upstream), reader_({}), delay_(upstream.timers_) {
     ++upstream_.opened;
-    stream_ = loop::Stream::Adopt(upstream.timers_, std::move(socket), {},
-                                  *this);
+    stream_ =
+        loop::Stream::Adopt(upstream.timers_, std::move(socket), {}, *this);
   }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -116,13 +116,12 @@
                            const std::string& address)
     : timers_(timers),
       address_(address),
-      acceptor_(io, timers, address_,
-                [this](boost::asio::ip::tcp::socket socket) {
-                  auto owned =
-                      std::make_unique<Connection>(*this, std::move(socket));
-                  Connection* connection = owned.get();
-                  connections_[connection] = std::move(owned);
-                }) {}
+      acceptor_(
+          io, timers, address_, [this](boost::asio::ip::tcp::socket socket) {
+            auto owned = std::make_unique<Connection>(*this, std::move(socket));
+            Connection* connection = owned.get();
+            connections_[connection] = std::move(owned);
+          }) {}
 
 TestUpstream::~TestUpstream() = default;
 
@@ -131,8 +130,8 @@
 TestCaller::TestCaller(boost::asio::io_context& io, loop::Timers& timers,
                        const std::string& address)
     : reader_({}) {
-  stream_ = loop::Stream::Dial(io, timers, loop::ParseEndpoint(address), {},
-                               *this);
+  stream_ =
+      loop::Stream::Dial(io, timers, loop::ParseEndpoint(address), {}, *this);
 }
 
 TestCaller::~TestCaller() { stream_->Close(); }
@@ -152,14 +151,14 @@
 std::string Ip(int i) { return "127.0.0." + std::to_string(i + 1); }
 }  // namespace
 
-World::World(int count, int first_port, int zones)
-    : log({"test", 0}, clock) {
+World::World(int count, int first_port, int zones) : log({"test", 0}, clock) {
   for (int i = 0; i < count; ++i) {
     int base = first_port + 10 * i;
     upstreams.push_back(std::make_unique<TestUpstream>(
         io, timers, Ip(i) + ":" + std::to_string(base)));
     upstreams.back()->acts = {
-        {"HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok",
+        {"HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: "
+         "2\r\n\r\nok",
          false, 0}};
     auto source = std::make_unique<TestSettings>();
     Settings& s = source->settings;
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -53,8 +53,8 @@
 
 // What an upstream does with a request.
 struct Act {
-  std::string answer;    // raw bytes; {id} stands for the request's id
-  bool close = false;    // after the answer
+  std::string answer;  // raw bytes; {id} stands for the request's id
+  bool close = false;  // after the answer
   int64_t delay_ms = 0;
 };
 
