--- a/almondwind/cli/commands.cc
+++ b/almondwind/cli/commands.cc
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "almondwind/cli/explain.h"
+#include "almondwind/cli/trace.h"
 #include "almondwind/load/compare.h"
 #include "almondwind/load/probe.h"
 #include "almondwind/node/settings.h"
@@ -137,6 +138,17 @@
   explain->callback([options, &code] { code = RunExplain(*options); });
 }
 
+void AddTrace(CLI::App& app, int& code) {
+  auto options = std::make_shared<TraceOptions>();
+  auto* trace = app.add_subcommand("trace", "one request, from nodes' logs");
+  trace->add_option("id", options->id, "id of the request")->required();
+  trace->add_option("files", options->files, "logs; none: standard input");
+  trace->add_option("--context-ms", options->context_ms,
+                    "how long before the request its nodes' state is shown");
+  trace->callback(
+      [options, &code] { code = RunTrace(*options, std::cin, std::cout); });
+}
+
 void AddReference(CLI::App& app) {
   app.add_subcommand("reference", "print the reference of all settings")
       ->callback([] {
@@ -158,6 +170,7 @@
   AddProbe(app, code);
   AddCheck(app, code);
   AddExplain(app, code);
+  AddTrace(app, code);
   AddReference(app);
 }
 
--- a/almondwind/sidecar/event_log.cc
+++ b/almondwind/sidecar/event_log.cc
@@ -1,41 +1,118 @@
 #include "almondwind/sidecar/event_log.h"
 
-#include <spdlog/async.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/details/null_mutex.h>
+#include <spdlog/sinks/base_sink.h>
+#include <spdlog/spdlog.h>
 
+#include <condition_variable>
+#include <cstdio>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
 
 namespace almondwind::sidecar {
 
-EventLog::EventLog(const EventLogOptions& options, const base::Clock& clock)
-    : options_(options), clock_(clock) {
-  pool_ = std::make_shared<spdlog::details::thread_pool>(options.queue_lines,
-                                                         size_t{1});
-  auto sink = std::make_shared<spdlog::sinks::stdout_sink_mt>();
-  logger_ = std::make_shared<spdlog::async_logger>(
-      "almondwind", sink, pool_, spdlog::async_overflow_policy::overrun_oldest);
+// Collects formatted lines on the loop's thread; a thread of its own writes
+// them out. The mutex guards what is handed over and is a leaf.
+class EventLog::Writer
+    : public spdlog::sinks::base_sink<spdlog::details::null_mutex> {
+ public:
+  explicit Writer(size_t backlog_bytes)
+      : backlog_bytes_(backlog_bytes), thread_([this] { Run(); }) {}
+  ~Writer() override {
+    HandOver();
+    {
+      std::lock_guard<std::mutex> lock(handover_);
+      stop_ = true;
+    }
+    ready_.notify_one();
+    thread_.join();
+  }
+
+  // Returns the number of lines that were dropped since the last call.
+  int HandOver() {
+    int dropped = 0;
+    {
+      std::lock_guard<std::mutex> lock(handover_);
+      if (waiting_.size() + collected_.size() > backlog_bytes_) {
+        dropped = lines_;
+      } else {
+        waiting_ += collected_;
+      }
+    }
+    collected_.clear();
+    lines_ = 0;
+    ready_.notify_one();
+    return dropped;
+  }
+
+ protected:
+  void sink_it_(const spdlog::details::log_msg& message) override {
+    spdlog::memory_buf_t line;
+    formatter_->format(message, line);
+    collected_.append(line.data(), line.size());
+    ++lines_;
+  }
+  void flush_() override {}
+
+ private:
+  void Run() {
+    std::unique_lock<std::mutex> lock(handover_);
+    for (;;) {
+      ready_.wait(lock, [this] { return stop_ || !waiting_.empty(); });
+      if (waiting_.empty()) return;
+      std::string bytes = std::move(waiting_);
+      waiting_.clear();
+      lock.unlock();
+      // A closed standard output leaves nowhere to say so.
+      (void)std::fwrite(bytes.data(), 1, bytes.size(), stdout);
+      (void)std::fflush(stdout);
+      lock.lock();
+    }
+  }
+
+  const size_t backlog_bytes_;
+  std::string collected_;
+  int lines_ = 0;
+  std::mutex handover_;
+  std::condition_variable ready_;
+  std::string waiting_;
+  bool stop_ = false;
+  std::thread thread_;
+};
+
+EventLog::EventLog(const EventLogOptions& options, loop::Timers& timers)
+    : options_(options),
+      timers_(timers),
+      writer_(std::make_shared<Writer>(options.backlog_bytes)),
+      logger_(std::make_shared<spdlog::logger>("almondwind", writer_)),
+      flush_(timers) {
   // The message is a JSON object without its opening brace.
   logger_->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z",%v)");
-  logger_->flush_on(spdlog::level::info);
 }
 
-EventLog::~EventLog() { logger_->flush(); }
+EventLog::~EventLog() = default;
+
+int EventLog::LimitOf(const std::string& event) const {
+  return event == "answered" ? options_.sampled_per_second
+                             : options_.lines_per_second;
+}
 
 EventLog::Budget& EventLog::BudgetNow(const std::string& event) {
   Budget& budget = budgets_[event];
-  int64_t second = clock_.Now().count() / 1000;
+  int64_t second = timers_.Now().count() / 1000;
   if (budget.second != second) {
-    if (budget.dropped > 0) {
-      Put("lines_dropped", {{"of", event}, {"count", budget.dropped}});
-    }
+    int dropped = budget.dropped;
     budget = {second, 0, 0};
+    if (dropped > 0) Put("lines_dropped", {{"of", event}, {"count", dropped}});
   }
   return budget;
 }
 
 bool EventLog::Wants(const std::string& event) {
   Budget& budget = BudgetNow(event);
-  if (budget.written < options_.lines_per_second) return true;
+  if (budget.written < LimitOf(event)) return true;
   ++budget.dropped;
   return false;
 }
@@ -51,6 +128,14 @@
   line.update(fields);
   using Handler = nlohmann::json::error_handler_t;
   logger_->info(line.dump(-1, ' ', false, Handler::replace).substr(1));
+  if (!flush_.pending()) flush_.Start(options_.flush, [this] { Flush(); });
+}
+
+void EventLog::Flush() {
+  int dropped = writer_->HandOver();
+  if (dropped > 0) {
+    Put("lines_dropped", {{"of", "all"}, {"count", dropped}});
+  }
 }
 
 }  // namespace almondwind::sidecar
--- a/almondwind/sidecar/process.cc
+++ b/almondwind/sidecar/process.cc
@@ -15,11 +15,12 @@
 }  // namespace
 
 int RunProcess(boost::asio::io_context& io, loop::Timers& timers,
-               const base::Clock& clock, const Settings& settings,
-               Environment environment) {
+               const Settings& settings, Environment environment) {
   // A write to a closed connection is an error code here, not a signal.
   std::signal(SIGPIPE, SIG_IGN);
-  EventLog log({settings.node}, clock);
+  EventLogOptions log_options;
+  log_options.node = settings.node;
+  EventLog log(log_options, timers);
   base::SystemEntropy entropy;
   Node node(io, timers, settings, environment, entropy.Next(), log);
   int code = 0;
--- a/almondwind/sidecar/process.h
+++ b/almondwind/sidecar/process.h
@@ -5,7 +5,6 @@
 #include <boost/asio/io_context.hpp>
 #include <functional>
 
-#include "almondwind/base/clock.h"
 #include "almondwind/loop/timers.h"
 #include "almondwind/sidecar/node.h"
 
@@ -15,8 +14,7 @@
 // the settings. Returns 0 if all that was in progress had ended. Throws if the
 // settings are wrong or a port is taken.
 int RunProcess(boost::asio::io_context& io, loop::Timers& timers,
-               const base::Clock& clock, const Settings& settings,
-               Environment environment);
+               const Settings& settings, Environment environment);
 
 }  // namespace almondwind::sidecar
 
--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -148,10 +148,18 @@
 namespace {
 // Each host of the world has its own address of the loopback network: the
 // address of an upstream names the host on which its node accepts links.
+EventLogOptions Quiet() {
+  EventLogOptions options;
+  options.node = "test";
+  options.lines_per_second = 0;
+  options.sampled_per_second = 0;
+  return options;
+}
+
 std::string Ip(int i) { return "127.0.0." + std::to_string(i + 1); }
 }  // namespace
 
-World::World(int count, int first_port, int zones) : log({"test", 0}, clock) {
+World::World(int count, int first_port, int zones) : log(Quiet(), timers) {
   for (int i = 0; i < count; ++i) {
     int base = first_port + 10 * i;
     upstreams.push_back(std::make_unique<TestUpstream>(
--- a/almondwind/standins/http_server.cc
+++ b/almondwind/standins/http_server.cc
@@ -5,6 +5,7 @@
 #include <memory>
 
 #include "almondwind/links/mesh.h"
+#include "almondwind/loop/endpoint.h"
 
 namespace almondwind::standins {
 
@@ -71,7 +72,7 @@
   site->bounds = bounds;
   site->handler = std::move(handler);
   auto acceptor = std::make_shared<net::ip::tcp::acceptor>(io);
-  net::ip::tcp::endpoint endpoint = links::ParseEndpoint(address);
+  net::ip::tcp::endpoint endpoint = loop::ParseEndpoint(address);
   acceptor->open(endpoint.protocol());
   acceptor->set_option(net::socket_base::reuse_address(true));
   acceptor->bind(endpoint);
--- a/almondwind/standins/relay.cc
+++ b/almondwind/standins/relay.cc
@@ -9,6 +9,7 @@
 #include <memory>
 
 #include "almondwind/links/mesh.h"
+#include "almondwind/loop/endpoint.h"
 #include "almondwind/standins/http_server.h"
 
 namespace almondwind::standins {
@@ -62,7 +63,7 @@
     timer.expires_after(std::chrono::milliseconds(20));
     timer.async_wait(yield[ec]);
   }
-  to->async_connect(links::ParseEndpoint(address), yield[ec]);
+  to->async_connect(loop::ParseEndpoint(address), yield[ec]);
   if (ec) return;
   from->set_option(net::ip::tcp::no_delay(true), ec);
   to->set_option(net::ip::tcp::no_delay(true), ec);
@@ -74,7 +75,7 @@
 void ServeWay(net::io_context& io, const std::string& way) {
   size_t equals = way.find('=');
   auto acceptor = std::make_shared<net::ip::tcp::acceptor>(
-      io, links::ParseEndpoint(way.substr(0, equals)));
+      io, loop::ParseEndpoint(way.substr(0, equals)));
   std::string to = way.substr(equals + 1);
   net::spawn(io, [&io, acceptor, to](net::yield_context yield) {
     while (true) {
--- a/almondwind/standins/upstreams.cc
+++ b/almondwind/standins/upstreams.cc
@@ -13,6 +13,7 @@
 #include <random>
 
 #include "almondwind/links/mesh.h"
+#include "almondwind/loop/endpoint.h"
 #include "almondwind/standins/http_server.h"
 
 namespace almondwind::standins {
@@ -262,7 +263,7 @@
   net::steady_timer done(io_);
   done.expires_at(SteadyClock::time_point::max());
   auto result = std::make_shared<std::optional<links::HttpEnd>>();
-  client_.Send(links::ParseEndpoint(address), std::move(request),
+  client_.Send(loop::ParseEndpoint(address), std::move(request),
                [result, &done](links::HttpEnd end) {
                  *result = std::move(end);
                  done.cancel();
