Keep the admission's correction at 1 at most, and let it fall faster

Cause: in calm the factor rose to 1.15, so the first seconds of a surge were let in whole; queues of 30 to 60 runs at the last service then failed three seconds of browses after their work was done. Test: a_calm_does_not_make_room_for_a_surge, which failed before.

--- a/almondwind/graph/admission.cc
+++ b/almondwind/graph/admission.cc
@@ -55,7 +55,8 @@
     double target = std::max(static_cast<double>(options_.wait_target.count()),
                              options_.wait_share * room.slot_ms);
     double& factor = factors_.try_emplace(service, 1).first->second;
-    factor += options_.step * std::clamp((target - wait) / target, -1.0, 1.0);
+    double off = std::clamp((target - wait) / target, -1.0, 1.0);
+    factor += (off < 0 ? options_.fall : options_.rise) * off;
     factor = std::clamp(factor, options_.min_factor, options_.max_factor);
   }
 }
--- a/almondwind/graph/admission.h
+++ b/almondwind/graph/admission.h
@@ -47,10 +47,13 @@
   double wait_share = 0.2;
   double wait_smoothing = 0.25;  // weight of the newest report in the mean
   // Change of the factor by a plan: down at twice the target or more, up while
-  // nothing waits.
-  double step = 0.03;
+  // nothing waits. A queue that has formed costs more than room left over.
+  double fall = 0.06;
+  double rise = 0.03;
   double min_factor = 0.6;
-  double max_factor = 1.15;
+  // Not above 1: a factor that has risen while there was room to spare would
+  // let the next surge in whole.
+  double max_factor = 1;
   // Cost at the scarce service, as a share of the dearest route's of the same
   // rank, up to which a route goes first.
   double negligible = 0.15;
--- a/almondwind/graph/testing/graph_test.cc
+++ b/almondwind/graph/testing/graph_test.cc
@@ -138,9 +138,8 @@
   BOOST_TEST(Entered(plan, "compare", 1000) == 1000);
   BOOST_TEST(Entered(plan, "download", 1000) == 1000);
   BOOST_TEST(plan.bound_by("browse") == "pricing");
-  // 45 slots, the factor's first step up, less 24 for quotes and 1.44 for
-  // comparisons, over 40.8 wanted.
-  double share = (45 * (1 + options.step) - 24 - 1.44) / 40.8;
+  // 45 slots, less 24 for quotes and 1.44 for comparisons, over 40.8 wanted.
+  double share = (45 - 24 - 1.44) / 40.8;
   BOOST_TEST(plan.share("browse") == share,
              boost::test_tools::tolerance(0.001));
   BOOST_TEST(std::abs(Entered(plan, "browse", 1000) - 1000 * share) <= 1.5);
@@ -227,6 +226,26 @@
   BOOST_TEST(plan.share("browse") == 1);
 }
 
+// A long calm and then a surge: the first plan of the surge fills no more than
+// the slots, however little was wanted before.
+BOOST_AUTO_TEST_CASE(a_calm_does_not_make_room_for_a_surge) {
+  AdmissionPlan plan({});
+  CostTable costs({});
+  RouteTablePtr routes = ChainRoutes();
+  Millis now(1000);
+  for (int i = 0; i < 100; ++i) {
+    now = now + Millis(250);
+    ReportChain(costs, now);
+    plan.SetRooms(Rooms(45));
+    plan.SetDemand("e", {{"browse", 20.0}, {"quote", 20.0}}, now);
+    plan.Plan(*routes, costs, now);
+  }
+  plan.SetDemand("e", {{"browse", 150.0}, {"quote", 90.0}}, now);
+  plan.Plan(*routes, costs, now);
+  double filled = 0.24 * (150 * plan.share("browse") + 90);
+  BOOST_TEST(filled <= 45);
+}
+
 BOOST_AUTO_TEST_CASE(reports_of_nodes_that_are_gone_are_dropped) {
   AdmissionPlan plan({});
   CostTable costs({});
