--- a/almondwind/peers/frames.cc
+++ b/almondwind/peers/frames.cc
@@ -70,8 +70,8 @@
 }
 template <typename F>
 void Fields(F& f, State& m) {
-  f(m.config_version, m.fleet_revision, m.leaving, m.service, m.load, m.demand,
-    m.costs);
+  f(m.config_version, m.fleet_revision, m.leaving, m.service, m.load,
+    m.detailed, m.demand, m.costs);
 }
 template <typename F>
 void Fields(F& f, Call& m) {
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -72,6 +72,8 @@
   bool leaving = false;
   std::string service;  // of the upstream beside the sender
   links::Load load;
+  // Whether demand and costs are told; else those told before hold on.
+  bool detailed = false;
   std::vector<RouteDemand> demand;
   std::vector<RouteCost> costs;
 };
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -67,7 +67,7 @@
   // How much a free slot in the own zone counts beside one in another: bytes
   // between zones are priced, and an own zone that is short of slots gives
   // only a part of its load to the others.
-  double zone_preference = 8;
+  double zone_preference = 25;
   // Links notice a peer's silence themselves; a call may be queued for longer
   // than the default.
   zones::EjectOptions eject = [] {
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -26,6 +26,9 @@
 // Admission is planned anew this often; peers report as often.
 constexpr Millis kPlanInterval{250};
 constexpr Millis kPlanLogInterval{2000};
+// Demand and costs are told to other zones this often: every second beat.
+constexpr Millis kDetailInterval{950};
+constexpr Millis kRound{20};
 // On a stop: until callers, who are told within two readiness checks of a
 // second each, go elsewhere.
 constexpr Millis kStopLinger{2300};
@@ -252,20 +255,39 @@
   }
 }
 
-peers::State Node::Report(const std::string&) {
+// Bytes between zones are priced, so other zones are told less often.
+peers::State Node::Report(const std::string& zone) {
+  Millis now = timers_.Now();
+  if (zone == settings_.zone) return DetailedReport();
+  Millis& told = detailed_[zone];
+  // All links to a zone are served in one round, a moment after another.
+  if (now - told >= kDetailInterval || now - told < kRound) {
+    if (now - told >= kDetailInterval) told = now;
+    return DetailedReport();
+  }
+  return BriefReport();
+}
+
+peers::State Node::BriefReport() const {
   peers::State state;
   state.config_version = config_version();
   state.fleet_revision = view_.revision();
   state.leaving = stopping_;
   state.service = settings_.service;
   state.load = gate_.Load();
+  return state;
+}
+
+peers::State Node::DetailedReport() {
+  peers::State state = BriefReport();
+  state.detailed = true;
   traffic_.Fill(state);
   return state;
 }
 
 void Node::OnState(peers::Link& link, const peers::State& state) {
   dispatcher_.OnLoad(link.peer(), state.load);
-  traffic_.OnReport(link.peer(), state);
+  if (state.detailed) traffic_.OnReport(link.peer(), state);
   using Kind = peers::DocumentKind;
   AskIfBehind(link, Kind::kConfig, config_behind_, state.config_version,
               config_version());
@@ -315,7 +337,7 @@
 }
 
 void Node::PlanAdmission() {
-  peers::State own = Report(settings_.zone);
+  peers::State own = DetailedReport();
   dispatcher_.OnLoad(settings_.links, own.load);
   traffic_.OnReport(settings_.links, own);
   traffic_.Plan(dispatcher_.directory(), dispatcher_.eject_options());
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -70,6 +70,9 @@
   void OnLinkDown(peers::Link& link) override;
   void OnFrame(peers::Link& link, peers::Frame frame) override;
   peers::State Report(const std::string& zone) override;
+  // The state with this node's part of the plan.
+  peers::State DetailedReport();
+  peers::State BriefReport() const;
 
  private:
   // The newest version of a document that a peer has told of, while this node
@@ -121,6 +124,7 @@
   Behind fleet_behind_;
   bool stopping_ = false;
   base::Millis plan_logged_{0};
+  std::map<std::string, base::Millis> detailed_;  // last told, by other zone
   base::Millis stop_began_{0};
   std::function<void(bool)> stop_done_;
 };
