--- /dev/null
+++ b/almondwind/base/fading.h
@@ -0,0 +1,36 @@
+// A count that fades: what was added weighs less and less with its age.
+//
+//   Fading requests;
+//   requests.Add(1, now, window);
+//   double recent = requests.Now(now, window);   // about those of `window`
+//
+// Two words; an exponential for each call. The window is the caller's, so that
+// one setting serves many counts.
+#ifndef ALMONDWIND_BASE_FADING_H_
+#define ALMONDWIND_BASE_FADING_H_
+
+#include <cmath>
+
+#include "almondwind/base/clock.h"
+
+namespace almondwind::base {
+
+class Fading {
+ public:
+  double Now(Millis now, Millis window) const {
+    auto age = static_cast<double>((now - at_).count());
+    return value_ * std::exp(-age / static_cast<double>(window.count()));
+  }
+  void Add(double amount, Millis now, Millis window) {
+    value_ = Now(now, window) + amount;
+    at_ = now;
+  }
+
+ private:
+  double value_ = 0;
+  Millis at_{0};
+};
+
+}  // namespace almondwind::base
+
+#endif  // ALMONDWIND_BASE_FADING_H_
--- a/almondwind/graph/admission.cc
+++ b/almondwind/graph/admission.cc
@@ -11,6 +11,7 @@
 // A claim below this many slots does not bound anything.
 constexpr double kMinSlots = 0.01;
 constexpr double kMinRate = 0.01;  // requests a second
+constexpr size_t kMaxPlans = 4096;
 }  // namespace
 
 void AdmissionPlan::SetDemand(const std::string& node, const Demand& demand,
@@ -162,6 +163,7 @@
   for (Claim* claim : all) {
     by_rank[RankOf(*claim, all, scarce)].push_back(claim);
   }
+  if (plans_.size() > kMaxPlans) plans_.clear();  // of routes long gone
   for (auto& [name, plan] : plans_) plan.share = 1;
   for (auto& [rank, peers] : by_rank) Grant(std::move(peers), left);
 }
--- a/almondwind/graph/run_tracker.cc
+++ b/almondwind/graph/run_tracker.cc
@@ -1,8 +1,6 @@
 #include "almondwind/graph/run_tracker.h"
 
 #include <algorithm>
-#include <cmath>
-#include <cstdlib>
 
 namespace almondwind::graph {
 
@@ -24,16 +22,6 @@
 
 }  // namespace
 
-double RunTracker::Fading::Now(Millis now, Millis memory) const {
-  auto age = static_cast<double>((now - at).count());
-  return value * std::exp(-age / static_cast<double>(memory.count()));
-}
-
-void RunTracker::Fading::Add(double amount, Millis now, Millis memory) {
-  value = Now(now, memory) + amount;
-  at = now;
-}
-
 void RunTracker::Start(uint64_t run, const std::string& route,
                        base::RequestClass cls, Millis deadline) {
   runs_[run] = {route, cls, deadline, {}};
--- a/almondwind/graph/run_tracker.h
+++ b/almondwind/graph/run_tracker.h
@@ -28,6 +28,7 @@
 #include <vector>
 
 #include "almondwind/base/clock.h"
+#include "almondwind/base/fading.h"
 #include "almondwind/base/outcome.h"
 #include "almondwind/peers/frames.h"
 
@@ -86,17 +87,10 @@
     // Calls with its deadline, less those beside it; by called route.
     std::map<std::string, int> net;
   };
-  // A count that fades.
-  struct Fading {
-    double value = 0;
-    base::Millis at{0};
-
-    double Now(base::Millis now, base::Millis memory) const;
-    void Add(double amount, base::Millis now, base::Millis memory);
-  };
   struct Callee {
-    Fading calls;
-    Fading net;  // of them, with the deadline of a run, less those by chance
+    base::Fading calls;
+    base::Fading
+        net;  // of them, with the deadline of a run, less those by chance
   };
   // Means over runs of a route.
   struct Means {
@@ -105,7 +99,7 @@
     std::map<std::string, double> net;  // calls of a run, by called route
   };
   struct RouteStats {
-    Fading runs;
+    base::Fading runs;
     Means completed;
     // A run that fails makes a part of its calls only. While none completes,
     // this part still says that the route makes them: without it, a route that
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -119,6 +119,7 @@
   void SetTable(routes::RouteTablePtr table) { table_ = std::move(table); }
   const routes::RouteTablePtr& table() const { return table_; }
   zones::Directory& directory() { return directory_; }
+  const zones::Directory& directory() const { return directory_; }
   routes::RetryBudget& retry_budget() { return budget_; }
   const zones::EjectOptions& eject_options() const { return options_.eject; }
 
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -121,8 +121,7 @@
   if (stopping_ || table_ == nullptr || view_.revision() == 0) return false;
   if (timers_.Now() - started_ > kLinkPatience) return true;
   std::set<std::string> peers;
-  for (const auto& [name, machine] :
-       const_cast<Node*>(this)->dispatcher_.directory().machines()) {
+  for (const auto& [name, machine] : dispatcher_.directory().machines()) {
     peers.insert(machine->entry().link);
   }
   size_t up = mesh_.links().size() + 1;
--- a/almondwind/sidecar/traffic.cc
+++ b/almondwind/sidecar/traffic.cc
@@ -1,7 +1,5 @@
 #include "almondwind/sidecar/traffic.h"
 
-#include <cmath>
-
 namespace almondwind::sidecar {
 
 using base::Millis;
@@ -27,16 +25,6 @@
   tracker_.End(run, completed, took, clock_.Now());
 }
 
-double Traffic::Fading::Now(Millis now, Millis window) const {
-  double age = static_cast<double>((now - at).count());
-  return value * std::exp(-age / static_cast<double>(window.count()));
-}
-
-void Traffic::Fading::Add(double amount, Millis now, Millis window) {
-  value = Now(now, window) + amount;
-  at = now;
-}
-
 void Traffic::Count(const std::string& route, bool orphan, Millis now) {
   if (arrivals_.size() >= kMaxRoutes && arrivals_.count(route) == 0) return;
   Arrivals& arrivals = arrivals_[route];
--- a/almondwind/sidecar/traffic.h
+++ b/almondwind/sidecar/traffic.h
@@ -12,6 +12,7 @@
 #include <utility>
 #include <vector>
 
+#include "almondwind/base/fading.h"
 #include "almondwind/graph/admission.h"
 #include "almondwind/graph/cost_table.h"
 #include "almondwind/graph/run_tracker.h"
@@ -67,18 +68,10 @@
   const graph::AdmissionPlan& plan() const { return plan_; }
 
  private:
-  // A count that fades over a window.
-  struct Fading {
-    double value = 0;
-    base::Millis at{0};
-
-    double Now(base::Millis now, base::Millis window) const;
-    void Add(double amount, base::Millis now, base::Millis window);
-  };
   struct Arrivals {
-    Fading demand;
-    Fading seen;
-    Fading orphans;
+    base::Fading demand;
+    base::Fading seen;
+    base::Fading orphans;
   };
   struct Report {
     std::vector<peers::RouteDemand> demand;
