Planned stop: take what the kernel has accepted, then count the connections

Cause of process_graceful_stop: the process closed its listener over connections that the kernel had accepted, with requests on them, and counted its connections while one more could be accepted by another worker; it then ended over that one 50 ms later. Closing could also leave the accept loop spinning on a closed descriptor.

Ruled out: kept-alive connections closed as idle (a request that is there is seen before the close).

The sidecar's acceptor drains likewise.

--- a/almondwind/loop/acceptor.cc
+++ b/almondwind/loop/acceptor.cc
@@ -37,6 +37,17 @@
   });
 }
 
+void Acceptor::CloseAfterBacklog() {
+  error_code ec;
+  acceptor_.non_blocking(true, ec);
+  while (!ec && acceptor_.is_open()) {
+    net::ip::tcp::socket socket(acceptor_.get_executor());
+    acceptor_.accept(socket, ec);
+    if (!ec) handler_(std::move(socket));
+  }
+  Close();
+}
+
 void Acceptor::Close() {
   pause_.Stop();
   error_code ec;
--- a/almondwind/loop/acceptor.h
+++ b/almondwind/loop/acceptor.h
@@ -26,6 +26,9 @@
            const std::string& address, Handler handler);
 
   void Close();
+  // Hands over the connections that the kernel has accepted already, then
+  // closes: a plain close resets them, and requests may have come on them.
+  void CloseAfterBacklog();
 
  private:
   void Accept();
--- a/almondwind/node/caller_server.cc
+++ b/almondwind/node/caller_server.cc
@@ -238,7 +238,7 @@
 }
 
 CallerServer::CallerServer(net::io_context& io, CallerServerOptions options)
-    : io_(io), options_(std::move(options)), acceptor_(io) {}
+    : io_(io), options_(std::move(options)), acceptor_(net::make_strand(io)) {}
 
 CallerServer::~CallerServer() = default;
 
@@ -254,28 +254,41 @@
 void CallerServer::Accept() {
   acceptor_.async_accept(
       net::make_strand(io_),
-      [this](error_code ec, net::ip::tcp::socket socket) {
-        if (ec == net::error::operation_aborted) return;
-        bool room = connections_ < static_cast<int>(options_.connections);
-        if (!ec && room) {
-          error_code ignored;
-          socket.set_option(net::ip::tcp::no_delay(true), ignored);
-          auto session =
-              std::make_shared<CallerSession>(*this, std::move(socket));
-          Remember(session);
-          session->Read();
-        }
-        Accept();
-      });
+      net::bind_executor(acceptor_.get_executor(),
+                         [this](error_code ec, net::ip::tcp::socket socket) {
+                           if (!ec) Admit(std::move(socket));
+                           acceptor_.is_open() ? Accept() : EndAccepting();
+                         }));
+}
+
+void CallerServer::Admit(net::ip::tcp::socket socket) {
+  if (connections_ >= static_cast<int>(options_.connections)) return;
+  error_code ignored;
+  socket.set_option(net::ip::tcp::no_delay(true), ignored);
+  auto session = std::make_shared<CallerSession>(*this, std::move(socket));
+  Remember(session);
+  // On the session's own strand: another worker may handle its first bytes.
+  net::post(session->executor(), [session] { session->Read(); });
 }
 
 void CallerServer::StopAccepting() {
   net::post(acceptor_.get_executor(), [this] {
-    error_code ignored;
-    acceptor_.close(ignored);
+    error_code ec;
+    // Closing resets the connections that wait to be accepted, and requests
+    // may have come on them.
+    acceptor_.non_blocking(true, ec);
+    while (!ec && acceptor_.is_open()) {
+      net::ip::tcp::socket socket(net::make_strand(io_));
+      acceptor_.accept(socket, ec);
+      if (!ec) Admit(std::move(socket));
+    }
+    acceptor_.close(ec);
   });
 }
 
+// Reached by the last accept, so that no connection comes after it.
+void CallerServer::EndAccepting() { stopped_accepting_ = true; }
+
 void CallerServer::Remember(const std::shared_ptr<CallerSession>& session) {
   std::lock_guard<std::mutex> lock(mutex_);
   // At most as many ended ones are kept as there are open ones, and some.
--- a/almondwind/node/caller_server.h
+++ b/almondwind/node/caller_server.h
@@ -47,8 +47,10 @@
   void Listen();
   // Each answer from now on closes its connection.
   void CloseAfterAnswers() { closing_ = true; }
-  // Takes no further connection.
+  // Takes the connections that the kernel has accepted already, and no further
+  // one. They are all counted once stopped_accepting is true.
   void StopAccepting();
+  bool stopped_accepting() const { return stopped_accepting_; }
   // Closes the connections on which no request is under way. A request that
   // has reached this host is answered first.
   void CloseIdle();
@@ -61,6 +63,8 @@
   friend class CallerSession;
 
   void Accept();
+  void Admit(boost::asio::ip::tcp::socket socket);
+  void EndAccepting();
   void Remember(const std::shared_ptr<CallerSession>& session);
   uint64_t Enroll(const std::shared_ptr<CallerSession>& session);
   void Strike(uint64_t caller);
@@ -68,7 +72,9 @@
   boost::asio::io_context& io_;
   const CallerServerOptions options_;
   Node* node_ = nullptr;
+  // On a strand of its own: the workers share the loop.
   boost::asio::ip::tcp::acceptor acceptor_;
+  std::atomic<bool> stopped_accepting_{false};
   std::atomic<bool> closing_{false};
   std::atomic<int> connections_{0};
   std::mutex mutex_;
--- a/almondwind/node/process.cc
+++ b/almondwind/node/process.cc
@@ -164,8 +164,10 @@
     callers_.StopAccepting();
     callers_.CloseIdle();
   }
-  bool closed = callers_.connection_count() == 0;
-  if ((lingered && closed && node_.idle()) || late) {
+  // The count is final only once no connection can be added.
+  bool closed =
+      callers_.stopped_accepting() && callers_.connection_count() == 0;
+  if ((closed && node_.idle()) || late) {
     return EndStop(node_.idle() ? 0 : 1);
   }
   stop_poll_.expires_after(kStopPoll);
--- a/almondwind/sidecar/caller_server.h
+++ b/almondwind/sidecar/caller_server.h
@@ -41,7 +41,8 @@
 
   // From now on answers close their connections.
   void CloseAfterAnswers() { closing_ = true; }
-  void StopAccepting() { acceptor_.Close(); }
+  // Takes what the kernel has accepted, and no further connection.
+  void StopAccepting() { acceptor_.CloseAfterBacklog(); }
   // Closes connections on which nothing is in progress.
   void CloseIdle();
   size_t connections() const { return connections_.size(); }
