--- a/almondwind/http/message.cc
+++ b/almondwind/http/message.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
+#include <cstdio>
 #include <ostream>  // Beast's headers use it
 
 namespace almondwind::http {
@@ -27,10 +28,16 @@
   }
 }
 
-void AppendLength(size_t length, std::string& out) {
+void AppendLength(uint64_t length, std::string& out) {
   out.append("Content-Length: ").append(std::to_string(length)).append("\r\n");
 }
 
+// Framing fields of a body of which only the first part is there.
+void AppendRestFields(const BodyRest& rest, std::string& out) {
+  if (rest.length) return AppendLength(*rest.length, out);
+  out.append("Transfer-Encoding: chunked\r\n");
+}
+
 // Whether a message without a body says so by a length of zero.
 bool MayHaveBody(std::string_view method) {
   return method != "GET" && method != "HEAD" && method != "DELETE" &&
@@ -94,6 +101,11 @@
   out.append(request.method).append(" ").append(request.target);
   out.append(" HTTP/1.1\r\n");
   AppendFields(request.headers, out);
+  if (request.rest.follows) {
+    AppendRestFields(request.rest, out);
+    out.append("\r\n");
+    return AppendBodyPart(request.rest, request.body, out);
+  }
   if (!request.body.empty() || MayHaveBody(request.method)) {
     AppendLength(request.body.size(), out);
   }
@@ -105,11 +117,32 @@
   out.append(" ").append(response.reason).append("\r\n");
   AppendFields(response.headers, out);
   if (!response.keep_alive) out.append("Connection: close\r\n");
+  if (response.rest.follows) {
+    AppendRestFields(response.rest, out);
+    out.append("\r\n");
+    return AppendBodyPart(response.rest, response.body, out);
+  }
   if (!HasNoBody(response.status)) AppendLength(response.body.size(), out);
   out.append("\r\n");
   if (!to_head && !HasNoBody(response.status)) out.append(response.body);
 }
 
+void AppendBodyPart(const BodyRest& rest, std::string_view part,
+                    std::string& out) {
+  if (part.empty()) return;  // an empty chunk would end the body
+  if (rest.length) {
+    out.append(part);
+    return;
+  }
+  std::array<char, 20> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", part.size());
+  out.append(size.data()).append(part).append("\r\n");
+}
+
+void AppendBodyEnd(const BodyRest& rest, std::string& out) {
+  if (!rest.length) out.append("0\r\n\r\n");
+}
+
 std::string ReasonPhrase(int status) {
   auto phrase = beast::http::obsolete_reason(
       beast::http::int_to_status(static_cast<unsigned>(status)));
--- a/almondwind/http/message.h
+++ b/almondwind/http/message.h
@@ -1,11 +1,14 @@
 // HTTP/1.1 requests and answers as values.
 //
-// Bodies are whole: framing (lengths, chunks) belongs to one connection and is
-// taken off by the reader and put on by the writer.
+// Framing (lengths, chunks) belongs to one connection and is taken off by the
+// reader and put on by the writer. A body is whole, or its first part is there
+// and the rest follows in parts.
 #ifndef ALMONDWIND_HTTP_MESSAGE_H_
 #define ALMONDWIND_HTTP_MESSAGE_H_
 
 #include <cstddef>
+#include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -44,12 +47,20 @@
   std::vector<Header> fields_;
 };
 
+// What is to come of a message whose `body` is not all of it.
+struct BodyRest {
+  bool follows = false;
+  // Bytes of the whole body, where its sender has announced them.
+  std::optional<uint64_t> length;
+};
+
 struct Request {
   std::string method;
   std::string target;  // as received: path and query
   bool keep_alive = true;
   Headers headers;
   std::string body;
+  BodyRest rest;
 
   // The target without its query.
   std::string_view path() const {
@@ -63,16 +74,23 @@
   bool keep_alive = true;
   Headers headers;
   std::string body;
+  BodyRest rest;
 };
 
 // Appends the wire form of `request`, with a Content-Length where it has or
-// may have a body.
+// may have a body. Where the rest of the body follows, it is to be appended by
+// AppendBodyPart and AppendBodyEnd.
 void Append(const Request& request, std::string& out);
 
 // Appends the wire form of `response`. `to_head`: it answers a HEAD request,
 // so its body stays away.
 void Append(const Response& response, bool to_head, std::string& out);
 
+// Appends a part of a body whose message was appended with `rest`.
+void AppendBodyPart(const BodyRest& rest, std::string_view part,
+                    std::string& out);
+void AppendBodyEnd(const BodyRest& rest, std::string& out);
+
 // Returns the standard reason phrase of `status`.
 std::string ReasonPhrase(int status);
 
--- a/almondwind/http/reader.cc
+++ b/almondwind/http/reader.cc
@@ -45,6 +45,20 @@
   Message message;
   bool header_done = false;
 
+  // Whether the body is too large to be waited for.
+  bool large(size_t whole_bytes) const {
+    return whole_bytes != 0 && header_done && message.body.size() > whole_bytes;
+  }
+
+  // Returns the message, with the first part of its body.
+  Message TakeHead() {
+    Message head = std::move(message);
+    message = Message();
+    head.rest.follows = true;
+    head.rest.length = announced_;
+    return head;
+  }
+
   // Parses the front of `buffer` and removes it. Returns whether the message
   // is complete.
   bool Parse(std::string& buffer, error_code& ec) {
@@ -101,6 +115,7 @@
   void on_body_init_impl(const boost::optional<std::uint64_t>& length,
                          error_code&) override {
     if (length) {
+      announced_ = *length;
       message.body.reserve(
           static_cast<size_t>(std::min<uint64_t>(*length, kReserveBytes)));
     }
@@ -119,6 +134,7 @@
 
  private:
   bool http10_ = false;
+  std::optional<uint64_t> announced_;
 };
 
 }  // namespace
@@ -150,16 +166,32 @@
       buffer_.size() > options_.header_bytes) {
     return ReadState::kHeaderTooLarge;
   }
-  return complete_ ? ReadState::kComplete : ReadState::kPartial;
+  if (complete_) return ReadState::kComplete;
+  bool large = !in_body_ && parser_->large(options_.whole_bytes);
+  return large ? ReadState::kLarge : ReadState::kPartial;
 }
 
 Request RequestReader::Take() {
+  if (!complete_) {
+    in_body_ = true;
+    return parser_->TakeHead();
+  }
   Request request = std::move(parser_->message);
   parser_.reset();
   complete_ = false;
   return request;
 }
 
+std::string RequestReader::TakeBody() {
+  return std::exchange(parser_->message.body, std::string());
+}
+
+void RequestReader::EndBody() {
+  parser_.reset();
+  complete_ = false;
+  in_body_ = false;
+}
+
 bool RequestReader::in_message() const {
   return parser_ != nullptr || !buffer_.empty();
 }
@@ -192,8 +224,11 @@
     error_code ec;
     complete_ = parser_->Parse(buffer_, ec);
     if (ec) return StateOf(ec);
-    if (!complete_) return ReadState::kPartial;
-    if (parser_->message.status / 100 == 1) {
+    if (!complete_) {
+      bool large = !in_body_ && parser_->large(options_.whole_bytes);
+      return large ? ReadState::kLarge : ReadState::kPartial;
+    }
+    if (!in_body_ && parser_->message.status / 100 == 1) {
       parser_.reset();
       complete_ = false;
     }
@@ -213,16 +248,29 @@
 }
 
 Response ResponseReader::Take() {
+  if (!complete_) {
+    in_body_ = true;
+    return parser_->TakeHead();
+  }
   Response response = std::move(parser_->message);
   parser_.reset();
   complete_ = false;
   return response;
 }
 
-void ResponseReader::Reset() {
-  buffer_.clear();
+std::string ResponseReader::TakeBody() {
+  return std::exchange(parser_->message.body, std::string());
+}
+
+void ResponseReader::EndBody() {
   parser_.reset();
   complete_ = false;
+  in_body_ = false;
+}
+
+void ResponseReader::Reset() {
+  buffer_.clear();
+  EndBody();
 }
 
 bool ResponseReader::in_message() const {
--- a/almondwind/http/reader.h
+++ b/almondwind/http/reader.h
@@ -9,6 +9,13 @@
 //   reader.Feed(bytes);
 //   while (reader.Next() == ReadState::kComplete) Use(reader.Take());
 //
+// A body of more than ReaderOptions::whole_bytes comes in parts:
+//
+//   if (reader.Next() == ReadState::kLarge) Use(reader.Take());  // rest
+//   follows ReadState state = reader.Next();      // kPartial, kComplete or an
+//   error Use(reader.TakeBody());               // after each Next if (state ==
+//   ReadState::kComplete) reader.EndBody();
+//
 // Bounds: ReaderOptions. Cost: one copy of header and body.
 #ifndef ALMONDWIND_HTTP_READER_H_
 #define ALMONDWIND_HTTP_READER_H_
@@ -24,7 +31,8 @@
 
 enum class ReadState : uint8_t {
   kPartial,         // more bytes are needed
-  kComplete,        // Take has a message
+  kComplete,        // Take has a message; of a large one, all has been read
+  kLarge,           // Take has a message whose body goes on
   kMalformed,       // the rest of the connection cannot be read
   kHeaderTooLarge,  // over ReaderOptions::header_bytes
   kBodyTooLarge     // over ReaderOptions::body_bytes
@@ -33,6 +41,8 @@
 struct ReaderOptions {
   uint32_t header_bytes = 16u << 10;
   uint64_t body_bytes = 64u << 20;
+  // Bodies beyond this come in parts; 0: none does.
+  size_t whole_bytes = 0;
 };
 
 class RequestReader {
@@ -44,6 +54,12 @@
   // Parses on. After kComplete, Take must be called before the next Next.
   ReadState Next();
   Request Take();
+  // Bytes of a large message's body that came since Take or the last TakeBody.
+  std::string TakeBody();
+  // After kComplete of a large message: the next message may be read.
+  void EndBody();
+  // Whether a large message is being read whose head has been taken.
+  bool in_body() const { return in_body_; }
 
   // Whether bytes of a message that is not complete have been fed.
   bool in_message() const;
@@ -63,6 +79,7 @@
   std::string buffer_;
   std::unique_ptr<Parser> parser_;
   bool complete_ = false;
+  bool in_body_ = false;
   bool continue_sent_ = false;
 };
 
@@ -78,6 +95,10 @@
   // The connection ended in order: completes a message without a length.
   ReadState Finish(bool to_head);
   Response Take();
+  // As for requests.
+  std::string TakeBody();
+  void EndBody();
+  bool in_body() const { return in_body_; }
   // Forgets all that was fed; for another connection.
   void Reset();
 
@@ -92,6 +113,7 @@
   std::string buffer_;
   std::unique_ptr<Parser> parser_;
   bool complete_ = false;
+  bool in_body_ = false;
 };
 
 }  // namespace almondwind::http
--- a/almondwind/http/testing/reader_test.cc
+++ b/almondwind/http/testing/reader_test.cc
@@ -212,4 +212,53 @@
   BOOST_TEST(*headers.Find("x-end") == "2");
 }
 
+// A body that is not waited for is the same as one that is, however its bytes
+// are split.
+BOOST_AUTO_TEST_CASE(large_bodies_come_in_parts) {
+  std::string body(1000, 'x');
+  for (size_t i = 0; i < body.size(); ++i) {
+    body[i] = static_cast<char>('a' + i % 26);
+  }
+  const std::string head = "POST /b HTTP/1.1\r\nHost: h\r\n";
+  const std::string chunked = head +
+                              "Transfer-Encoding: chunked\r\n\r\n3e8\r\n" +
+                              body + "\r\n0\r\n\r\n";
+  const std::string plain = head + "Content-Length: 1000\r\n\r\n" + body;
+  const std::string next = "GET /n HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (const std::string& first : {plain, chunked}) {
+    for (size_t step : {1, 7, 100, 333}) {
+      RequestReader reader({4096, 4096, 100});
+      std::string got;
+      std::vector<std::string> targets;
+      const std::string bytes = first + next;
+      for (size_t at = 0; at < bytes.size(); at += step) {
+        reader.Feed(bytes.substr(at, step));
+        for (bool more = true; more;) {
+          ReadState state = reader.Next();
+          bool in_body = reader.in_body();
+          if (state == ReadState::kLarge ||
+              (!in_body && state == ReadState::kComplete)) {
+            Request request = reader.Take();
+            targets.push_back(request.target);
+            got += request.body;
+            if (state != ReadState::kLarge) continue;
+            BOOST_TEST(request.rest.follows);
+            BOOST_TEST(request.rest.length.has_value() == (first == plain));
+          } else if (in_body) {
+            got += reader.TakeBody();
+            more = state == ReadState::kComplete;
+            if (more) reader.EndBody();
+          } else {
+            BOOST_TEST((state == ReadState::kPartial));
+            more = false;
+          }
+        }
+      }
+      BOOST_TEST(got == body);
+      BOOST_TEST(targets == (std::vector<std::string>{"/b", "/n"}),
+                 boost::test_tools::per_element());
+    }
+  }
+}
+
 }  // namespace almondwind::http
--- a/almondwind/loop/stream.cc
+++ b/almondwind/loop/stream.cc
@@ -1,6 +1,7 @@
 #include "almondwind/loop/stream.h"
 
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -190,6 +191,12 @@
 
 void Stream::PauseReading() { paused_ = true; }
 
+bool Stream::peer_closed() {
+  if (!socket_.is_open()) return true;
+  pollfd probe{socket_.native_handle(), POLLRDHUP, 0};
+  return ::poll(&probe, 1, 0) > 0;
+}
+
 void Stream::ResumeReading() {
   paused_ = false;
   if (connected_) WaitRead();
--- a/almondwind/loop/stream.h
+++ b/almondwind/loop/stream.h
@@ -78,6 +78,10 @@
   void PauseReading();
   void ResumeReading();
 
+  // Whether the other side has closed or reset, also behind bytes that have
+  // not been read; for streams whose reading is paused. One system call.
+  bool peer_closed();
+
   bool open() const { return events_ != nullptr; }
   size_t unwritten() const { return out_.size() - out_at_; }
   const Tcp::endpoint& remote() const { return remote_; }
--- a/almondwind/peers/frames.cc
+++ b/almondwind/peers/frames.cc
@@ -76,7 +76,8 @@
 template <typename F>
 void Fields(F& f, Call& m) {
   f(m.id, m.upstream, m.route, m.cls, m.idempotent, m.max_wait_ms,
-    m.time_left_ms, m.caller_service, m.method, m.target, m.headers, m.body);
+    m.time_left_ms, m.caller_service, m.method, m.target, m.headers, m.body,
+    m.rest);
 }
 template <typename F>
 void Fields(F& f, Cancel& m) {
@@ -85,7 +86,7 @@
 template <typename F>
 void Fields(F& f, Answer& m) {
   f(m.id, m.outcome, m.reason, m.arrived, m.retry_after_ms, m.load, m.status,
-    m.phrase, m.headers, m.body);
+    m.phrase, m.headers, m.body, m.rest);
 }
 template <typename F>
 void Fields(F& f, Ask& m) {
@@ -95,6 +96,14 @@
 void Fields(F& f, Document& m) {
   f(m.kind, m.version, m.text);
 }
+template <typename F>
+void Fields(F& f, BodyPart& m) {
+  f(m.id, m.of_request, m.end, m.bytes);
+}
+template <typename F>
+void Fields(F& f, Credit& m) {
+  f(m.id, m.of_request, m.bytes);
+}
 
 template <typename T>
 constexpr bool kIsRows = std::is_same_v<T, std::vector<RouteCost>> ||
@@ -109,12 +118,24 @@
     out.pack_array(sizeof...(field));
     (One(field), ...);
   }
+  // Nothing follows: nil. Else the length, or false where it is not known.
+  void PackRest(const BodyRest& rest) {
+    if (!rest.follows) {
+      out.pack_nil();
+    } else if (rest.length) {
+      out.pack(*rest.length);
+    } else {
+      out.pack(false);
+    }
+  }
   template <typename T>
   void One(T& field) {
     if constexpr (std::is_same_v<T, http::Headers>) {
       WireHeaders{field, names}.Pack(out);
     } else if constexpr (std::is_same_v<T, links::Load>) {
       Fields(*this, field);
+    } else if constexpr (std::is_same_v<T, BodyRest>) {
+      PackRest(field);
     } else if constexpr (kIsRows<T>) {
       out.pack_array(static_cast<uint32_t>(field.size()));
       for (auto& row : field) Fields(*this, row);
@@ -137,6 +158,14 @@
     size_t i = 0;
     (One(in.via.array.ptr[i++], field), ...);
   }
+  static void UnpackRest(const msgpack::object& object, BodyRest& rest) {
+    rest.follows = !object.is_nil();
+    if (object.type == msgpack::type::POSITIVE_INTEGER) {
+      rest.length = object.via.u64;
+    } else if (rest.follows && object.type != msgpack::type::BOOLEAN) {
+      throw Error(Reason::kMalformed, "rest of a body in a frame is unclear");
+    }
+  }
   template <typename T>
   void One(const msgpack::object& object, T& field) {
     if constexpr (std::is_same_v<T, http::Headers>) {
@@ -144,6 +173,8 @@
     } else if constexpr (std::is_same_v<T, links::Load>) {
       Unpacker inner{object, names};
       Fields(inner, field);
+    } else if constexpr (std::is_same_v<T, BodyRest>) {
+      UnpackRest(object, field);
     } else if constexpr (kIsRows<T>) {
       for (const auto& item : object.as<std::vector<msgpack::object>>()) {
         Unpacker inner{item, names};
@@ -182,6 +213,8 @@
     good = ask->kind <= static_cast<uint8_t>(DocumentKind::kFleet);
   } else if (const Document* document = std::get_if<Document>(&frame)) {
     good = document->kind <= static_cast<uint8_t>(DocumentKind::kFleet);
+  } else if (const BodyPart* part = std::get_if<BodyPart>(&frame)) {
+    good = part->end <= static_cast<uint8_t>(BodyEnd::kBroken);
   }
   if (!good) throw Error(Reason::kMalformed, "link frame field out of range");
 }
@@ -203,6 +236,10 @@
       return Unpack<Ask>(payload, names);
     case FrameType::kDocument:
       return Unpack<Document>(payload, names);
+    case FrameType::kBodyPart:
+      return Unpack<BodyPart>(payload, names);
+    case FrameType::kCredit:
+      return Unpack<Credit>(payload, names);
   }
   throw Error(Reason::kMalformed, "link frame of unknown type");
 }
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -25,7 +25,7 @@
 
 // Raised whenever a field changes meaning; a peer of another version is
 // refused at Hello.
-constexpr uint32_t kProtocolVersion = 1;
+constexpr uint32_t kProtocolVersion = 2;
 
 enum class FrameType : uint8_t {
   kHello,
@@ -34,9 +34,13 @@
   kCancel,
   kAnswer,
   kAsk,
-  kDocument
+  kDocument,
+  kBodyPart,
+  kCredit
 };
-constexpr size_t kFrameTypeCount = 7;
+constexpr size_t kFrameTypeCount = 9;
+
+using http::BodyRest;
 
 struct Hello {
   uint32_t protocol = kProtocolVersion;
@@ -92,6 +96,7 @@
   std::string target;
   http::Headers headers;
   std::string body;
+  BodyRest rest;
 };
 
 struct Cancel {
@@ -110,6 +115,29 @@
   std::string phrase;
   http::Headers headers;
   std::string body;
+  BodyRest rest;
+};
+
+enum class BodyEnd : uint8_t {
+  kMore,   // other parts follow
+  kLast,   // the body is complete
+  kBroken  // the rest will never come
+};
+
+// A part of a body too large for one frame. The sender keeps to the bytes that
+// the receiver has granted by Credit.
+struct BodyPart {
+  uint64_t id = 0;          // of the call
+  bool of_request = false;  // else of its answer
+  uint8_t end = 0;          // BodyEnd
+  std::string bytes;
+};
+
+// The receiver of a body takes this many more bytes of it.
+struct Credit {
+  uint64_t id = 0;
+  bool of_request = false;
+  uint32_t bytes = 0;
 };
 
 enum class DocumentKind : uint8_t { kConfig, kFleet };
@@ -126,7 +154,8 @@
   std::string text;
 };
 
-using Frame = std::variant<Hello, State, Call, Cancel, Answer, Ask, Document>;
+using Frame = std::variant<Hello, State, Call, Cancel, Answer, Ask, Document,
+                           BodyPart, Credit>;
 
 // Header names that travel as numbers; both sides must have the same list.
 using HeaderNames = std::vector<std::string>;
--- a/almondwind/peers/mesh.h
+++ b/almondwind/peers/mesh.h
@@ -49,7 +49,8 @@
   // other one.
   base::Millis dial_courtesy{250};
   size_t links = 256;
-  size_t frame_bytes = 80u << 20;
+  // A list of 23,000 upstreams has about 4 MB; bodies come in parts.
+  size_t frame_bytes = 8u << 20;
 };
 
 class Link;
--- a/almondwind/peers/testing/frames_test.cc
+++ b/almondwind/peers/testing/frames_test.cc
@@ -37,13 +37,21 @@
   state.load.limit = 80;
   state.demand = {{"browse", 12.5, 100, 30}};
   state.costs = {{"browse", 500, 90, {{"lookup", 2}}}};
+  Call large_call = call;
+  large_call.rest = {true, 5u << 20};
+  Answer large_answer = answer;
+  large_answer.rest.follows = true;
   return {Hello{kProtocolVersion, "10.0.0.1:1", "z", 5},
           state,
           call,
           Cancel{7},
           answer,
           Ask{1, 4},
-          Document{0, 8, "text"}};
+          Document{0, 8, "text"},
+          large_call,
+          large_answer,
+          BodyPart{7, true, 1, "part"},
+          Credit{7, false, 4096}};
 }
 
 std::string Payload(const Frame& frame) {
--- a/almondwind/sidecar/caller_server.cc
+++ b/almondwind/sidecar/caller_server.cc
@@ -7,14 +7,19 @@
 
 using base::Millis;
 using base::Reason;
+using peers::BodyEnd;
 
 namespace {
 
 // How often idle connections are looked at.
 constexpr Millis kSweep{1000};
+// How often paused connections are asked whether their callers have left; an
+// upstream is to end abandoned work within half a second.
+constexpr Millis kWatch{200};
 
-http::ReaderOptions ReaderOptionsFrom(const routes::Limits& limits) {
-  return {limits.header_bytes, limits.body_bytes};
+http::ReaderOptions ReaderOptionsFrom(const routes::Limits& limits,
+                                      const CallerServerOptions& options) {
+  return {limits.header_bytes, limits.body_bytes, options.whole_bytes};
 }
 
 int StatusOf(http::ReadState state) {
@@ -35,7 +40,7 @@
  public:
   Connection(CallerServer& server, boost::asio::ip::tcp::socket socket)
       : server_(server),
-        reader_(ReaderOptionsFrom(server.limits())),
+        reader_(ReaderOptionsFrom(server.limits(), server.options_)),
         last_used_(server.timers_.Now()) {
     loop::StreamOptions options;
     options.silence = Millis(10'000);  // callers may read slowly
@@ -50,6 +55,8 @@
   }
 
   bool idle() const { return slots_.empty() && !reader_.in_message(); }
+  bool paused() const { return paused_; }
+  bool caller_left() { return stream_->peer_closed(); }
   Millis last_used() const { return last_used_; }
   // Whether a request is coming in, and longer than the operators allow.
   bool overdue(const routes::Limits& limits, Millis now) const {
@@ -75,6 +82,32 @@
     if (!pumping_) Pump();
   }
 
+  void OnBody(uint64_t call, std::string bytes, BodyEnd end) override {
+    if (end == BodyEnd::kBroken) return OnBroken(call);
+    Slot& slot = slots_.front();  // only the first answer has been opened
+    std::string wire;
+    http::AppendBodyPart(slot.response->rest, bytes, wire);
+    untaken_ += static_cast<uint32_t>(bytes.size());
+    if (end == BodyEnd::kLast) {
+      http::AppendBodyEnd(slot.response->rest, wire);
+      slot.body_done = true;
+      untaken_ = 0;
+    }
+    if (!wire.empty()) stream_->Write(wire);
+    if (end == BodyEnd::kLast) return Pump();
+    if (stream_->unwritten() == 0) Taken(call);
+  }
+
+  void OnDrained() override {
+    if (untaken_ > 0 && !slots_.empty()) Taken(slots_.front().call);
+  }
+
+  void OnBodyWanted(uint64_t call, uint32_t bytes) override {
+    if (call != receiving_) return;
+    wanted_ += bytes;
+    if (!pumping_) Pump();
+  }
+
   // Gives a final answer of the node's own to a caller that is too slow, and
   // closes.
   void TimeOut() {
@@ -90,6 +123,9 @@
     std::optional<http::Response> response;
     bool keep_alive = true;
     bool to_head = false;
+    // Of an answer in parts: its head has been written; all of it has.
+    bool open = false;
+    bool body_done = false;
   };
 
   // Reads what can be read, answers what can be answered. May destroy this
@@ -100,11 +136,13 @@
     bool open = WriteAnswers();
     pumping_ = false;
     if (!open) return server_.Erase(*this);
-    bool full = slots_.size() >= server_.options_.pipeline;
+    bool full = slots_.size() >= server_.options_.pipeline ||
+                (reader_.in_body() && wanted_ <= 0);
     if (full != paused_) {
       paused_ = full;
       if (full) {
         stream_->PauseReading();
+        if (!server_.watch_.pending()) server_.WatchPaused();
       } else {
         stream_->ResumeReading();
       }
@@ -112,6 +150,7 @@
   }
 
   void ReadRequests() {
+    if (reader_.in_body() && !ReadBody()) return;
     while (!broken_ && slots_.size() < server_.options_.pipeline) {
       if (!reader_.in_message()) message_since_ = server_.timers_.Now();
       http::ReadState state = reader_.Next();
@@ -121,6 +160,11 @@
         }
         return;
       }
+      if (state == http::ReadState::kLarge) {
+        Enter(reader_.Take());
+        if (!ReadBody()) return;
+        continue;
+      }
       if (state != http::ReadState::kComplete) {
         broken_ = true;
         slots_.push_back({0,
@@ -134,9 +178,44 @@
     }
   }
 
+  // Passes on what has come of a request's body. Returns whether all of it has.
+  bool ReadBody() {
+    http::ReadState state = reader_.Next();
+    bool last = state == http::ReadState::kComplete;
+    if (!last && state != http::ReadState::kPartial) {
+      // The request has gone out in part, and nothing true can be said of it.
+      failed_ = broken_ = true;
+      return false;
+    }
+    std::string bytes = reader_.TakeBody();
+    if (!last && bytes.empty()) return false;
+    wanted_ -= static_cast<int64_t>(bytes.size());
+    server_.dispatcher_.FeedBody(receiving_, std::move(bytes), last);
+    if (!last) return false;
+    reader_.EndBody();
+    receiving_ = 0;
+    wanted_ = 0;
+    return true;
+  }
+
+  // An answer whose head has not been written yet can still become another.
+  void OnBroken(uint64_t call) {
+    if (slots_.front().call == call) return server_.Erase(*this);
+    for (Slot& slot : slots_) {
+      if (slot.call != call) continue;
+      slot.response =
+          server_.dispatcher_.Own(502, Reason::kUpstreamClosed, Millis(0));
+    }
+  }
+
+  void Taken(uint64_t call) {
+    server_.dispatcher_.OnBodyTaken(call, std::exchange(untaken_, 0));
+  }
+
   void Enter(http::Request request) {
     Slot& slot = slots_.emplace_back();
     slot.call = server_.dispatcher_.next_id();
+    if (request.rest.follows) receiving_ = slot.call;
     slot.keep_alive = request.keep_alive;
     slot.to_head = request.method == "HEAD";
     if (!slot.keep_alive) broken_ = true;  // nothing may follow
@@ -145,17 +224,28 @@
 
   // Returns whether the connection stays open.
   bool WriteAnswers() {
+    if (failed_) return false;
     std::string bytes;
     bool open = true;
+    uint64_t opened = 0;
     while (open && !slots_.empty() && slots_.front().response) {
       Slot& slot = slots_.front();
-      open = slot.keep_alive && !server_.closing_;
-      slot.response->keep_alive = open;
-      http::Append(*slot.response, slot.to_head, bytes);
+      if (!slot.open) {
+        // An answer before the end of its request leaves the rest unread.
+        bool unread = receiving_ != 0 && receiving_ == slot.call;
+        slot.keep_alive = slot.keep_alive && !server_.closing_ && !unread;
+        slot.response->keep_alive = slot.keep_alive;
+        http::Append(*slot.response, slot.to_head, bytes);
+        slot.open = true;
+        if (slot.response->rest.follows) opened = slot.call;
+      }
+      if (slot.response->rest.follows && !slot.body_done) break;
+      open = slot.keep_alive;
       slots_.pop_front();
       last_used_ = server_.timers_.Now();
     }
     if (!bytes.empty()) stream_->Write(bytes);
+    if (opened != 0) server_.dispatcher_.OpenBody(opened);
     // What came behind a closing answer counts as not read.
     if (!open) stream_->CloseAfterWrites();
     return open;
@@ -164,7 +254,8 @@
   void AbandonAll() {
     std::vector<uint64_t> calls;
     for (const Slot& slot : slots_) {
-      if (!slot.response) calls.push_back(slot.call);
+      bool done = slot.response && !slot.response->rest.follows;
+      if (!done) calls.push_back(slot.call);
     }
     slots_.clear();
     for (uint64_t call : calls) server_.dispatcher_.Abandon(call);
@@ -179,6 +270,12 @@
   bool pumping_ = false;
   bool paused_ = false;
   bool broken_ = false;  // nothing more can be read
+  bool failed_ = false;  // the connection is to end without an answer
+  // Of a request whose body comes in parts: its call, and how many more bytes
+  // are wanted of it.
+  uint64_t receiving_ = 0;
+  int64_t wanted_ = 0;
+  uint32_t untaken_ = 0;  // bytes of the open answer not yet written out
 };
 
 CallerServer::CallerServer(boost::asio::io_context& io, loop::Timers& timers,
@@ -188,6 +285,7 @@
       options_(options),
       dispatcher_(dispatcher),
       sweep_(timers),
+      watch_(timers),
       acceptor_(io, timers, options.listen,
                 [this](boost::asio::ip::tcp::socket socket) {
                   OnAccepted(std::move(socket));
@@ -226,6 +324,18 @@
   for (Connection* connection : idle) Erase(*connection);
 }
 
+void CallerServer::WatchPaused() {
+  std::vector<Connection*> left;
+  bool paused = false;
+  for (const auto& [connection, owned] : connections_) {
+    if (!connection->paused()) continue;
+    paused = true;
+    if (connection->caller_left()) left.push_back(connection);
+  }
+  for (Connection* connection : left) Erase(*connection);
+  if (paused) watch_.Start(kWatch, [this] { WatchPaused(); });
+}
+
 void CallerServer::Sweep() {
   Millis now = timers_.Now();
   routes::Limits limit = limits();
--- a/almondwind/sidecar/caller_server.h
+++ b/almondwind/sidecar/caller_server.h
@@ -4,6 +4,9 @@
 // answered in order. When a caller closes its connection, what it waits for is
 // abandoned at once.
 //
+// A body too large to be held is passed on in parts, as fast as the other side
+// takes them; meanwhile nothing further is read, or written, on its connection.
+//
 // Bounds: Options::connections, beyond which new ones are closed;
 // Options::pipeline requests of one connection, beyond which it is not read;
 // the operators' limits on header, body, header time and idle time. Not
@@ -30,6 +33,8 @@
   std::string listen;  // "ip:port"
   size_t connections = 2048;
   size_t pipeline = 16;
+  // Bodies of requests beyond this are passed on in parts.
+  size_t whole_bytes = 64u << 10;
 };
 
 class CallerServer {
@@ -53,6 +58,8 @@
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void Erase(Connection& connection);
   void Sweep();
+  // Looks after connections that are not being read, for callers who leave.
+  void WatchPaused();
   routes::Limits limits() const;
 
   loop::Timers& timers_;
@@ -60,6 +67,7 @@
   Dispatcher& dispatcher_;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
   loop::Timer sweep_;
+  loop::Timer watch_;
   bool closing_ = false;
   loop::Acceptor acceptor_;
 };
--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -4,39 +4,14 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "almondwind/sidecar/entry_call.h"
+
 namespace almondwind::sidecar {
 
 using base::Millis;
 using base::Outcome;
 using base::Reason;
 
-// A request in progress. At most one leg of it is under way.
-struct Dispatcher::EntryCall {
-  EntryCall(uint64_t number, loop::Timers& timers)
-      : id(number), deadline_timer(timers) {}
-
-  uint64_t id;
-  http::Request request;
-  CallerTerms terms;
-  CallerEvents* events = nullptr;
-  routes::RouteTablePtr table;  // keeps `route` alive
-  const routes::Route* route = nullptr;
-  std::string service;
-  base::RequestClass cls = base::RequestClass::kNormal;
-  bool inner = false;
-  Millis arrived{0};
-  Millis deadline{0};
-  loop::Timer deadline_timer;
-  std::set<std::string> tried;  // upstreams, by id
-  int arrivals = 0;             // upstreams that the request has reached
-  int refusals = 0;             // by gates
-
-  // The leg under way; 0: none.
-  uint64_t leg = 0;
-  uint64_t leg_link = 0;  // serial of its link; 0: this node's own gate
-  zones::MachinePtr machine;
-};
-
 Dispatcher::Dispatcher(loop::Timers& timers, const Dialect& dialect,
                        DispatcherOptions options, GateServer& gate,
                        Admission& admission, EventLog& log, Metrics& metrics,
@@ -112,6 +87,13 @@
   bool full =
       calls_.size() > options_.calls || body_bytes_ > options_.body_bytes;
   if (full) return Refuse(call, Reason::kTooManyCalls, Millis(500));
+  if (call.request.rest.follows) {
+    if (streams_ >= options_.streams) {
+      return Refuse(call, Reason::kTooManyCalls, Millis(500));
+    }
+    call.streaming = true;
+    ++streams_;
+  }
   Millis patience = call.terms.patience.value_or(options_.default_patience);
   call.deadline = call.arrived + std::min(patience, call.route->timeout);
   call.service = splitter_.Choose(*call.route).service;
@@ -192,12 +174,11 @@
   out.headers.RemoveConnectionFields();
   dialect_.RemoveSystemFields(out.headers);
   out.body = call.request.body;
+  out.rest = call.request.rest;
   if (machine.entry().link == options_.link) {
     call.leg_link = 0;
-    uint64_t leg = call.leg;
-    gate_.Offer({0, leg}, std::move(out), [this, leg](peers::Answer answer) {
-      OnAnswer(leg, std::move(answer));
-    });
+    gate_.Offer({0, call.leg}, std::move(out),
+                [this](peers::Frame frame) { OnFrame(std::move(frame)); });
     return;
   }
   peers::Link* link = mesh_->Find(machine.entry().link);
@@ -218,19 +199,20 @@
   call.machine->OnAbandoned();
   if (call.leg_link == 0) {
     gate_.Cancel({0, call.leg});
-  } else if (peers::Link* link = mesh_->Find(call.machine->entry().link);
-             link != nullptr && link->serial() == call.leg_link) {
-    link->Send(peers::Cancel{call.leg});
+  } else {
+    SendToGate(call, peers::Cancel{call.leg});
   }
   call.leg = 0;
 }
 
 void Dispatcher::OnAnswer(uint64_t leg, peers::Answer answer) {
-  auto it = legs_.find(leg);
-  if (it == legs_.end()) return;  // given up in the meantime
-  EntryCall& call = *calls_.at(it->second);
-  legs_.erase(it);
-  call.leg = 0;
+  EntryCall* found = FindLeg(leg);
+  if (found == nullptr || found->answering) return;
+  EntryCall& call = *found;
+  if (!answer.rest.follows) {
+    legs_.erase(leg);
+    call.leg = 0;
+  }
   auto outcome = static_cast<Outcome>(answer.outcome);
   auto reason = static_cast<Reason>(answer.reason);
   // A gate that refuses for load works; one whose upstream cannot be reached
@@ -247,16 +229,20 @@
   }
   if (outcome == Outcome::kNotRun) return OnNotRun(call, answer);
   if (outcome == Outcome::kUnknown) return OnUnknown(call, reason);
-  if (answer.status >= 500 && call.route->idempotent && FailsAlone(call) &&
-      MayRepeat(call)) {
-    return Try(call);
-  }
+  bool may_hide =
+      answer.status >= 500 && call.route->idempotent && !answer.rest.follows;
+  if (may_hide && FailsAlone(call) && MayRepeat(call)) return Try(call);
   http::Response response;
   response.status = static_cast<int>(answer.status);
   response.reason = std::move(answer.phrase);
   response.headers = std::move(answer.headers);
   response.body = std::move(answer.body);
-  Finish(call, std::move(response), "answered");
+  response.rest = answer.rest;
+  if (!answer.rest.follows) {
+    return Finish(call, std::move(response), "answered");
+  }
+  call.answering = true;
+  call.events->OnAnswer(call.id, std::move(response));
 }
 
 bool Dispatcher::FailsAlone(const EntryCall& call) {
@@ -270,7 +256,7 @@
 // Whether the request may be sent to one more upstream; takes it from the
 // retry budget if so.
 bool Dispatcher::MayRepeat(EntryCall& call) {
-  if (call.arrivals >= call.route->max_attempts) return false;
+  if (call.body_sent || call.arrivals >= call.route->max_attempts) return false;
   if (Candidates(call, /*any=*/false).empty()) return false;
   auto costs = admission_.RepeatCosts(call.route->name, call.service);
   if (!budget_.Take(costs, timers_.Now())) return false;
@@ -286,7 +272,8 @@
     // The upstream refused it: not run, but another arrival for the budget.
     again = again && MayRepeat(call);
   } else {
-    again = again && !Candidates(call, /*any=*/false).empty();
+    again =
+        again && !call.body_sent && !Candidates(call, /*any=*/false).empty();
   }
   if (again) return Try(call);
   Refuse(call, reason, std::max(Millis(answer.retry_after_ms), Millis(200)));
@@ -299,6 +286,7 @@
 }
 
 void Dispatcher::OnDeadline(EntryCall& call) {
+  if (call.answering) return BreakAnswer(call, "timeout");
   CancelLeg(call);
   Finish(call, Own(504, Reason::kTimeout, Millis(0)), "timeout");
 }
@@ -310,17 +298,23 @@
 
 void Dispatcher::Finish(EntryCall& call, http::Response response,
                         const std::string& why) {
-  Log(call, response.status, why);
-  metrics_.OnEntryEnd(call.inner, response.status, why,
-                      timers_.Now() - call.arrived);
+  EntryCallPtr owned = Remove(call, response.status, why);
+  if (owned->events != nullptr) {
+    owned->events->OnAnswer(owned->id, std::move(response));
+  }
+}
+
+Dispatcher::EntryCallPtr Dispatcher::Remove(EntryCall& call, int status,
+                                            const std::string& why) {
+  Log(call, status, why);
+  metrics_.OnEntryEnd(call.inner, status, why, timers_.Now() - call.arrived);
   auto it = calls_.find(call.id);
   EntryCallPtr owned = std::move(it->second);
   calls_.erase(it);
   body_bytes_ -= owned->request.body.size();
   owned->deadline_timer.Stop();
-  if (owned->events != nullptr) {
-    owned->events->OnAnswer(owned->id, std::move(response));
-  }
+  EndStream(*owned);
+  return owned;
 }
 
 void Dispatcher::Abandon(uint64_t id) {
@@ -344,6 +338,10 @@
     legs_.erase(call.leg);
     call.leg = 0;
     call.machine->OnFailure(timers_.Now(), options_.eject, Jitter());
+    if (call.answering) {
+      BreakAnswer(call, std::string(base::ReasonName(Reason::kLinkLost)));
+      continue;
+    }
     // It may have arrived; the budget counts it as if it had.
     ++call.arrivals;
     OnUnknown(call, Reason::kLinkLost);
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -11,12 +11,19 @@
 // route's timeout or the caller's patience is over, the answer is given at
 // once, whatever runs is cancelled.
 //
+// A body too large to be held comes in parts. A request whose body has begun to
+// go out is not repeated, for its beginning is no longer there; an answer that
+// breaks off midway ends its caller's connection.
+//
 // Bounds: Options::calls requests and Options::body_bytes of their bodies;
-// beyond them a request is refused. Cost: a few look-ups and one scan of a
-// service's upstreams a try. Not thread-safe.
+// beyond them a request is refused. Options::streams bodies in parts, with
+// Options::body_window bytes each; beyond them a request is refused, and an
+// answer waits at its gate. Cost: a few look-ups and one scan of a service's
+// upstreams a try. Not thread-safe.
 #ifndef ALMONDWIND_SIDECAR_DISPATCHER_H_
 #define ALMONDWIND_SIDECAR_DISPATCHER_H_
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <random>
@@ -41,7 +48,12 @@
 class CallerEvents {
  public:
   virtual ~CallerEvents() = default;
+  // Where `response.rest` follows, its parts come once OpenBody was called.
   virtual void OnAnswer(uint64_t call, http::Response response) = 0;
+  // A part of the answer's body; anything but kMore ends the call.
+  virtual void OnBody(uint64_t call, std::string bytes, peers::BodyEnd end) = 0;
+  // This many more bytes of the request's body may be given to FeedBody.
+  virtual void OnBodyWanted(uint64_t call, uint32_t bytes) = 0;
 };
 
 struct DispatcherOptions {
@@ -51,6 +63,10 @@
   std::string region;
   size_t calls = 4096;
   size_t body_bytes = 48u << 20;
+  // Bodies in parts, and bytes of each that are on their way at one time:
+  // 24 MB in all, a tenth of a small host's memory.
+  size_t streams = 96;
+  uint32_t body_window = 256u << 10;
   // Gates that may refuse one request before it is refused as a whole.
   int gates = 3;
   // Patience of a caller that names none.
@@ -129,8 +145,14 @@
   // The next id that Accept will use.
   uint64_t next_id() const { return next_id_; }
   void Abandon(uint64_t id);
-
-  void OnAnswer(uint64_t leg, peers::Answer answer);
+  // The next part of the body of a request whose `rest` follows.
+  void FeedBody(uint64_t id, std::string bytes, bool last);
+  // The caller takes the parts of the answer, and has taken some.
+  void OpenBody(uint64_t id);
+  void OnBodyTaken(uint64_t id, uint32_t bytes);
+
+  // What a gate says of a call: Answer, BodyPart or Credit.
+  void OnFrame(peers::Frame frame);
   void OnLinkDown(uint64_t serial);
   // A peer's gate reports its load.
   void OnLoad(const std::string& link, const links::Load& load);
@@ -144,6 +166,14 @@
   struct EntryCall;
   using EntryCallPtr = std::unique_ptr<EntryCall>;
 
+  void OnAnswer(uint64_t leg, peers::Answer answer);
+  void OnBodyPart(peers::BodyPart part);
+  void OnCredit(const peers::Credit& credit);
+  EntryCall* FindLeg(uint64_t leg);
+  void SendToGate(const EntryCall& call, const peers::Frame& frame);
+  void GrantAnswer(EntryCall& call, uint32_t bytes);
+  void EndStream(EntryCall& call);
+  void BreakAnswer(EntryCall& call, const std::string& why);
   void Begin(EntryCall& call);
   void Try(EntryCall& call);
   zones::Machine* Choose(EntryCall& call);
@@ -158,6 +188,7 @@
   bool FailsAlone(const EntryCall& call);
   void Refuse(EntryCall& call, base::Reason reason, base::Millis retry_after);
   void Finish(EntryCall& call, http::Response response, const std::string& why);
+  EntryCallPtr Remove(EntryCall& call, int status, const std::string& why);
   void Log(const EntryCall& call, int status, const std::string& why);
   double Jitter();
   base::Millis Spread(base::Millis delay);
@@ -179,6 +210,8 @@
   std::unordered_map<uint64_t, EntryCallPtr> calls_;
   std::unordered_map<uint64_t, uint64_t> legs_;  // leg to call
   size_t body_bytes_ = 0;
+  size_t streams_ = 0;                   // bodies in parts under way
+  std::deque<uint64_t> waiting_bodies_;  // calls whose answers wait for room
   uint64_t next_id_ = 1;
   uint64_t next_leg_ = 1;
 };
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -59,6 +59,7 @@
   answer.headers = std::move(response.headers);
   answer.headers.RemoveConnectionFields();
   answer.body = std::move(response.body);
+  answer.rest = response.rest;
   return answer;
 }
 
@@ -116,7 +117,11 @@
   machines::RunPtr run(new machines::Run);
   run->id = next_run_++;
   run->request = request;
-  runs_[run->id] = {run, key, std::move(call), std::move(reply), false};
+  GateRun& held = runs_[run->id];
+  held.run = run;
+  held.key = key;
+  held.call = std::move(call);
+  held.reply = std::move(reply);
   by_key_[key] = run->id;
   gate_->Offer(run, now);
   if (gate_->queued() > 0 && !tick_.pending()) {
@@ -142,6 +147,10 @@
   http::Request request = UpstreamRequest(held, left);
   std::string request_id = dialect_.ReadCaller(request.headers).request_id;
   pool_->Send(id, request, request_id, held.call.idempotent);
+  auto it = runs_.find(id);
+  if (it == runs_.end() || !it->second.call.rest.follows) return;
+  it->second.call.body.clear();
+  GrantBody(it->second, options_.body_window);
 }
 
 http::Request GateServer::UpstreamRequest(const GateRun& run,
@@ -151,6 +160,7 @@
   request.target = run.call.target;
   request.headers = run.call.headers;
   request.body = run.call.body;
+  request.rest = run.call.rest;
   UpstreamTerms terms;
   terms.upstream = run.call.upstream;
   terms.caller_service = run.call.caller_service;
@@ -224,13 +234,20 @@
   held.abandoned = true;
   if (gate_->Withdraw(*run, Reason::kCancelled, now)) return;
   // What must not run twice is left to finish: breaking it off would not make
-  // it undone.
-  if (!held.call.idempotent) return;
+  // it undone. A body of which parts are missing never finishes.
+  bool in_parts = held.call.rest.follows || held.answering;
+  if (held.call.idempotent || in_parts) BreakOff(id);
+}
+
+void GateServer::BreakOff(uint64_t id) {
+  auto it = runs_.find(id);
+  machines::RunPtr run = it->second.run;
+  Millis now = timers_.Now();
   observer_.OnRunEnded(id, /*completed=*/false, now - run->started);
   run->cancelled = true;
   pool_->Cancel(id);
-  by_key_.erase(key);
-  runs_.erase(id);
+  by_key_.erase(it->second.key);
+  runs_.erase(it);
   gate_->End(*run, {}, now);
 }
 
@@ -243,6 +260,93 @@
   for (const CallKey& key : keys) Cancel(key);
 }
 
+// ---- Bodies in parts.
+
+GateServer::GateRun* GateServer::Find(const CallKey& key) {
+  auto it = by_key_.find(key);
+  return it == by_key_.end() ? nullptr : &runs_.at(it->second);
+}
+
+void GateServer::GrantBody(GateRun& run, uint32_t bytes) {
+  if (!run.abandoned) run.reply(peers::Credit{run.key.second, true, bytes});
+}
+
+void GateServer::OnBodyPart(const CallKey& key, const peers::BodyPart& part) {
+  GateRun* held = Find(key);
+  if (held == nullptr) return;  // it has ended in the meantime
+  uint64_t id = held->run->id;
+  bool last = part.end == static_cast<uint8_t>(peers::BodyEnd::kLast);
+  pool_->SendBody(id, part.bytes, last);
+  if (last) {
+    held->call.rest.follows = false;
+    return;
+  }
+  held->ungranted += static_cast<uint32_t>(part.bytes.size());
+  if (pool_->unwritten(id) == 0) OnUpstreamDrained(id);
+}
+
+void GateServer::OnUpstreamDrained(uint64_t exchange) {
+  auto it = runs_.find(exchange);
+  if (it == runs_.end() || it->second.ungranted == 0) return;
+  GrantBody(it->second, std::exchange(it->second.ungranted, 0));
+}
+
+void GateServer::OnUpstreamLarge(uint64_t exchange, http::Response response,
+                                 const AnswerMarks& marks) {
+  auto it = runs_.find(exchange);
+  if (it == runs_.end()) return;
+  GateRun& held = it->second;
+  peers::Answer answer = Judge(EndKind::kAnswer, std::move(response), marks);
+  bool passed_on = answer.outcome == static_cast<uint8_t>(Outcome::kAnswered);
+  if (!passed_on || held.abandoned) {
+    // The rest of what the caller will not get is not waited for.
+    machines::RunPtr run = held.run;
+    pool_->Cancel(exchange);
+    observer_.OnRunEnded(exchange, false, timers_.Now() - run->started);
+    gate_->End(*run, {}, timers_.Now());
+    return Answer(exchange, std::move(answer));
+  }
+  held.answering = true;
+  answer.id = held.key.second;
+  answer.load = Load();
+  metrics_.OnGateEnd(Outcome::kAnswered, static_cast<Reason>(answer.reason),
+                     held.run->started - held.run->enqueued);
+  held.reply(std::move(answer));
+}
+
+void GateServer::OnCredit(const CallKey& key, uint32_t bytes) {
+  GateRun* held = Find(key);
+  if (held == nullptr || !held->answering) return;
+  held->credit += bytes;
+  if (held->credit > 0) pool_->ResumeBody(held->run->id);
+}
+
+void GateServer::OnUpstreamBody(uint64_t exchange, std::string bytes,
+                                peers::BodyEnd end) {
+  auto it = runs_.find(exchange);
+  if (it == runs_.end()) return;
+  GateRun& held = it->second;
+  held.credit -= static_cast<int64_t>(bytes.size());
+  if (end == peers::BodyEnd::kMore && held.credit <= 0) {
+    pool_->PauseBody(exchange);
+  }
+  if (!held.abandoned) {
+    held.reply(peers::BodyPart{held.key.second, false,
+                               static_cast<uint8_t>(end), std::move(bytes)});
+  }
+  if (end == peers::BodyEnd::kMore) return;
+  // The reply may have ended other runs; this one is found anew.
+  it = runs_.find(exchange);
+  if (it == runs_.end()) return;
+  machines::RunPtr run = it->second.run;
+  Millis now = timers_.Now();
+  observer_.OnRunEnded(exchange, end == peers::BodyEnd::kLast,
+                       now - run->started);
+  by_key_.erase(it->second.key);
+  runs_.erase(it);
+  gate_->End(*run, {}, now);
+}
+
 links::Load GateServer::Load() const { return gate_->Report(timers_.Now()); }
 
 }  // namespace almondwind::sidecar
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -4,13 +4,18 @@
 // dispatcher or over a link, so limit, queue, drain and "not run" are decided
 // next to the work. machines::Gate decides what runs, waits or is refused.
 //
-//   gate.Offer({link_serial, call.id}, call, reply);  // reply is called once
+//   gate.Offer({link_serial, call.id}, call, reply);  // replies with an Answer
 //   gate.Cancel({link_serial, call.id});
 //
 // An answer is passed on only if it is whole and the upstream vouches for it;
 // anything else the upstream did after a request was sent is "unknown".
 //
-// Bounds: those of the gate's queues. Not thread-safe.
+// A body too large for one frame is passed on in parts: of a request, as many
+// bytes are granted as have been written to the upstream; of an answer, as many
+// are read as the sender of the call has granted.
+//
+// Bounds: those of the gate's queues; Options::body_window bytes of each body
+// that comes in parts. Not thread-safe.
 #ifndef ALMONDWIND_SIDECAR_GATE_SERVER_H_
 #define ALMONDWIND_SIDECAR_GATE_SERVER_H_
 
@@ -32,7 +37,9 @@
 
 // Link serial (0: this node's own dispatcher) and id of a call on it.
 using CallKey = std::pair<uint64_t, uint64_t>;
-using Reply = std::function<void(peers::Answer)>;
+// Takes the frames that go back to the sender of a call: one Answer, and where
+// bodies come in parts, Credit for the request's and BodyPart of the answer's.
+using Reply = std::function<void(peers::Frame)>;
 
 // Told of what the upstream's runs cost.
 class RunObserver {
@@ -60,6 +67,9 @@
   base::Millis refusal_margin{25};
   // A request with less time left is refused rather than run.
   base::Millis min_time_left{5};
+  // Bytes of a large request that are on their way at one time. Enough for
+  // 1 Gbit/s at 2 ms.
+  uint32_t body_window = 256u << 10;
 };
 
 class GateServer : public machines::GateEvents, public UpstreamPoolEvents {
@@ -77,6 +87,10 @@
   // Nobody waits for the answer any more. What waits is refused; what runs and
   // may be repeated is broken off.
   void Cancel(const CallKey& key);
+  // The next part of a request's body.
+  void OnBodyPart(const CallKey& key, const peers::BodyPart& part);
+  // The sender takes this many more bytes of its answer.
+  void OnCredit(const CallKey& key, uint32_t bytes);
   // The link is gone, and with it all who waited for answers on it.
   void CancelLink(uint64_t serial);
   // Takes no new requests from now on.
@@ -91,6 +105,11 @@
   void OnUpstreamEnd(uint64_t exchange, base::EndKind kind,
                      http::Response response,
                      const AnswerMarks& marks) override;
+  void OnUpstreamLarge(uint64_t exchange, http::Response response,
+                       const AnswerMarks& marks) override;
+  void OnUpstreamBody(uint64_t exchange, std::string bytes,
+                      peers::BodyEnd end) override;
+  void OnUpstreamDrained(uint64_t exchange) override;
 
  private:
   struct GateRun {
@@ -99,9 +118,17 @@
     peers::Call call;
     Reply reply;
     bool abandoned = false;
+    // Of a request in parts: bytes that came and have not been granted anew.
+    uint32_t ungranted = 0;
+    // Of an answer in parts: whether it has begun, and how much may be sent.
+    bool answering = false;
+    int64_t credit = 0;
   };
 
   void Answer(uint64_t id, peers::Answer answer);
+  GateRun* Find(const CallKey& key);
+  void GrantBody(GateRun& run, uint32_t bytes);
+  void BreakOff(uint64_t id);
   void Tick();
   http::Request UpstreamRequest(const GateRun& run, base::Millis left) const;
   void LogEnd(const GateRun& run, const peers::Answer& answer) const;
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -240,9 +240,13 @@
     peers::LinkPtr keep(&link);
     CallKey key{link.serial(), call->id};
     gate_.Offer(key, std::move(*call),
-                [keep](peers::Answer answer) { keep->Send(answer); });
-  } else if (auto* answer = std::get_if<peers::Answer>(&frame)) {
-    dispatcher_.OnAnswer(answer->id, std::move(*answer));
+                [keep](const peers::Frame& reply) { keep->Send(reply); });
+  } else if (auto* part = std::get_if<peers::BodyPart>(&frame);
+             part != nullptr && part->of_request) {
+    gate_.OnBodyPart({link.serial(), part->id}, *part);
+  } else if (auto* credit = std::get_if<peers::Credit>(&frame);
+             credit != nullptr && !credit->of_request) {
+    gate_.OnCredit({link.serial(), credit->id}, credit->bytes);
   } else if (auto* cancel = std::get_if<peers::Cancel>(&frame)) {
     gate_.Cancel({link.serial(), cancel->id});
   } else if (auto* state = std::get_if<peers::State>(&frame)) {
@@ -251,6 +255,8 @@
     OnAsk(link, *ask);
   } else if (auto* document = std::get_if<peers::Document>(&frame)) {
     OnDocument(*document);
+  } else {
+    dispatcher_.OnFrame(std::move(frame));
   }
 }
 
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -56,6 +56,8 @@
   bool ready() const;
   uint64_t config_version() const;
   size_t peers_up() const { return mesh_.links().size(); }
+  // Requests of this host that are in progress.
+  size_t calls() const { return dispatcher_.in_progress(); }
 
   void OnConfig(const std::string& document) override;
   void OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -74,12 +74,18 @@
     ++upstream_.opened;
     stream_ =
         loop::Stream::Adopt(upstream.timers_, std::move(socket), {}, *this);
+    if (upstream.stalled) stream_->PauseReading();
   }
+  size_t unwritten() const { return stream_->unwritten(); }
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
   ~Connection() override { stream_->Close(); }
 
   void OnData(std::string_view data) override {
+    if (upstream_.early) {
+      stream_->Write(upstream_.acts.front().answer);
+      return;
+    }
     reader_.Feed(data);
     if (reader_.Next() != http::ReadState::kComplete) return;
     http::Request request = reader_.Take();
@@ -100,6 +106,7 @@
 
   void OnEnd(loop::StreamEnd) override {
     if (running_) ++upstream_.broken_off;
+    ++upstream_.ended;
     delay_.Stop();
     upstream_.connections_.erase(this);
   }
@@ -125,6 +132,14 @@
 
 TestUpstream::~TestUpstream() = default;
 
+size_t TestUpstream::unwritten() const {
+  size_t sum = 0;
+  for (const auto& [connection, owned] : connections_) {
+    sum += connection->unwritten();
+  }
+  return sum;
+}
+
 // ---- Caller.
 
 TestCaller::TestCaller(boost::asio::io_context& io, loop::Timers& timers,
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -71,6 +71,11 @@
   std::vector<http::Request> seen;
   int broken_off = 0;  // connections that ended while a request ran
   int opened = 0;
+  int ended = 0;
+  bool stalled = false;  // it reads nothing of what is sent
+  bool early = false;    // it answers before it has read a request
+  // Bytes of its answers that the other side has not taken.
+  size_t unwritten() const;
 
  private:
   class Connection;
@@ -90,6 +95,9 @@
 
   void Send(const std::string& bytes) { stream_->Write(bytes); }
   void Close() { stream_->Close(); }
+  void Pause() { stream_->PauseReading(); }
+  void Resume() { stream_->ResumeReading(); }
+  size_t unwritten() const { return stream_->unwritten(); }
   void OnData(std::string_view data) override;
   void OnEnd(loop::StreamEnd) override { ended = true; }
 
--- a/almondwind/sidecar/upstream_pool.cc
+++ b/almondwind/sidecar/upstream_pool.cc
@@ -10,6 +10,7 @@
 using base::EndKind;
 using base::Millis;
 using loop::StreamEnd;
+using peers::BodyEnd;
 
 namespace {
 constexpr Millis kSweep{500};
@@ -19,7 +20,8 @@
  public:
   explicit Connection(UpstreamPool& pool)
       : pool_(pool),
-        reader_({pool.options_.header_bytes, pool.options_.answer_bytes}),
+        reader_({pool.options_.header_bytes, pool.options_.answer_bytes,
+                 pool.options_.whole_bytes}),
         idle_limit_(pool.options_.idle_limit) {}
   Connection(const Connection&) = delete;
   Connection& operator=(const Connection&) = delete;
@@ -39,13 +41,33 @@
     request_id_ = request_id;
     to_head_ = request.method == "HEAD";
     busy_ = true;
+    rest_ = request.rest;
     std::string bytes;
     http::Append(request, bytes);
     stream_->Write(bytes);
   }
 
+  void SendBody(std::string_view part, bool last) {
+    if (!rest_.follows) return;
+    std::string bytes;
+    http::AppendBodyPart(rest_, part, bytes);
+    if (last) {
+      http::AppendBodyEnd(rest_, bytes);
+      rest_.follows = false;
+    }
+    if (!bytes.empty()) stream_->Write(bytes);
+  }
+
+  size_t unwritten() const { return stream_->unwritten(); }
+  void PauseBody() { stream_->PauseReading(); }
+  void ResumeBody() { stream_->ResumeReading(); }
+
   void OnConnected() override { connected_ = true; }
 
+  void OnDrained() override {
+    if (rest_.follows) pool_.events_.OnUpstreamDrained(exchange_);
+  }
+
   void OnData(std::string_view data) override {
     if (!busy_) return pool_.Erase(*this);  // nobody asked for these bytes
     reader_.Feed(data);
@@ -56,6 +78,7 @@
     ended_ = true;
     if (!busy_) return pool_.Erase(*this);
     if (end == StreamEnd::kClosed) return Read(/*ended=*/true);
+    if (reader_.in_body()) return FinishBody("", BodyEnd::kBroken);
     bool sent = connected_ || end != StreamEnd::kUnreachable;
     Finish(sent ? EndKind::kClosed : EndKind::kUnreachable, {}, {});
   }
@@ -67,6 +90,7 @@
 
  private:
   void Read(bool ended) {
+    if (reader_.in_body()) return ReadBody(ended);
     for (;;) {
       http::ReadState state =
           ended ? reader_.Finish(to_head_) : reader_.Next(to_head_);
@@ -74,6 +98,7 @@
         if (ended) Finish(EndKind::kClosed, {}, {});
         return;
       }
+      if (state == http::ReadState::kLarge) return BeginLarge(ended);
       if (state != http::ReadState::kComplete) {
         bool large = state == http::ReadState::kBodyTooLarge ||
                      state == http::ReadState::kHeaderTooLarge;
@@ -89,24 +114,70 @@
     }
   }
 
-  void Finish(EndKind kind, http::Response response, const AnswerMarks& marks) {
-    busy_ = false;
-    bool reusable = kind == EndKind::kAnswer && !ended_ && !spoiled_ &&
-                    response.keep_alive && !reader_.in_message();
-    if (marks.idle_limit) {
-      idle_limit_ = *marks.idle_limit * pool_.options_.idle_percent / 100;
+  // The end of a connection that has ended already is found by ReadBody.
+  void BeginLarge(bool ended) {
+    http::Response response = reader_.Take();
+    AnswerMarks marks = pool_.dialect_.ReadAnswer(response);
+    // A late answer to an earlier request; what follows it is not waited for.
+    bool other = marks.request_id && *marks.request_id != request_id_;
+    if (other || ended) return Finish(EndKind::kClosed, {}, {});
+    keep_alive_ = response.keep_alive;
+    if (marks.idle_limit) TakeIdleLimit(*marks.idle_limit);
+    stream_->PauseReading();
+    pool_.events_.OnUpstreamLarge(exchange_, std::move(response), marks);
+  }
+
+  void ReadBody(bool ended) {
+    http::ReadState state =
+        ended ? reader_.Finish(to_head_) : reader_.Next(to_head_);
+    if (state != http::ReadState::kPartial &&
+        state != http::ReadState::kComplete) {
+      return FinishBody("", BodyEnd::kBroken);
     }
-    idle_since_ = pool_.timers_.Now();
-    if (!reusable) stream_->Close();
+    std::string bytes = reader_.TakeBody();
+    if (state == http::ReadState::kComplete) {
+      reader_.EndBody();
+      return FinishBody(std::move(bytes), BodyEnd::kLast);
+    }
+    if (ended) return FinishBody("", BodyEnd::kBroken);
+    if (bytes.empty()) return;
+    pool_.events_.OnUpstreamBody(exchange_, std::move(bytes), BodyEnd::kMore);
+  }
+
+  void FinishBody(std::string bytes, BodyEnd end) {
+    EndExchange(end == BodyEnd::kLast && keep_alive_);
+    pool_.OnBodyEnd(*this, std::move(bytes), end);
+    // The pool may have erased this object.
+  }
+
+  void Finish(EndKind kind, http::Response response, const AnswerMarks& marks) {
+    if (marks.idle_limit) TakeIdleLimit(*marks.idle_limit);
+    EndExchange(kind == EndKind::kAnswer && response.keep_alive);
     pool_.OnEnd(*this, kind, std::move(response), marks);
     // The pool may have erased this object.
   }
 
+  void TakeIdleLimit(Millis limit) {
+    idle_limit_ = limit * pool_.options_.idle_percent / 100;
+  }
+
+  // A connection is kept only if nothing is left on it in either direction.
+  void EndExchange(bool keep) {
+    busy_ = false;
+    bool clean = !ended_ && !spoiled_ && !reader_.in_message() &&
+                 !reader_.in_body() && !rest_.follows;
+    rest_.follows = false;
+    idle_since_ = pool_.timers_.Now();
+    if (!keep || !clean) stream_->Close();
+  }
+
   UpstreamPool& pool_;
   loop::StreamPtr stream_;
   http::ResponseReader reader_;
   uint64_t exchange_ = 0;
   std::string request_id_;
+  http::BodyRest rest_;      // of the request
+  bool keep_alive_ = false;  // says the head of an answer in parts
   Millis idle_since_{0};
   Millis idle_limit_;
   bool to_head_ = false;
@@ -172,6 +243,29 @@
   connection->Send(exchange, request, request_id);
 }
 
+UpstreamPool::Connection* UpstreamPool::Find(uint64_t exchange) const {
+  auto it = busy_.find(exchange);
+  return it == busy_.end() ? nullptr : it->second;
+}
+
+void UpstreamPool::SendBody(uint64_t exchange, std::string_view bytes,
+                            bool last) {
+  if (Connection* c = Find(exchange)) c->SendBody(bytes, last);
+}
+
+size_t UpstreamPool::unwritten(uint64_t exchange) const {
+  const Connection* c = Find(exchange);
+  return c == nullptr ? 0 : c->unwritten();
+}
+
+void UpstreamPool::PauseBody(uint64_t exchange) {
+  if (Connection* c = Find(exchange)) c->PauseBody();
+}
+
+void UpstreamPool::ResumeBody(uint64_t exchange) {
+  if (Connection* c = Find(exchange)) c->ResumeBody();
+}
+
 void UpstreamPool::Cancel(uint64_t exchange) {
   auto it = busy_.find(exchange);
   if (it == busy_.end()) return;
@@ -183,13 +277,24 @@
 void UpstreamPool::OnEnd(Connection& connection, EndKind kind,
                          http::Response response, const AnswerMarks& marks) {
   uint64_t exchange = connection.exchange();
-  busy_.erase(exchange);
+  Release(connection);
+  events_.OnUpstreamEnd(exchange, kind, std::move(response), marks);
+}
+
+void UpstreamPool::OnBodyEnd(Connection& connection, std::string bytes,
+                             BodyEnd end) {
+  uint64_t exchange = connection.exchange();
+  Release(connection);
+  events_.OnUpstreamBody(exchange, std::move(bytes), end);
+}
+
+void UpstreamPool::Release(Connection& connection) {
+  busy_.erase(connection.exchange());
   if (!connection.reusable()) {
     Erase(connection);
   } else if (!sweep_.pending()) {
     sweep_.Start(kSweep, [this] { SweepIdle(); });
   }
-  events_.OnUpstreamEnd(exchange, kind, std::move(response), marks);
 }
 
 void UpstreamPool::SweepIdle() {
--- a/almondwind/sidecar/upstream_pool.h
+++ b/almondwind/sidecar/upstream_pool.h
@@ -27,6 +27,7 @@
 #include "almondwind/base/outcome.h"
 #include "almondwind/http/reader.h"
 #include "almondwind/loop/stream.h"
+#include "almondwind/peers/frames.h"
 #include "almondwind/sidecar/environment.h"
 
 namespace almondwind::sidecar {
@@ -35,6 +36,9 @@
   size_t connections = 128;
   uint64_t answer_bytes = 64u << 20;
   uint32_t header_bytes = 64u << 10;
+  // Answers with longer bodies are passed on in parts. Smaller ones are held
+  // until they are whole, so that one that breaks off can be asked for again.
+  size_t whole_bytes = 64u << 10;
   // Used where the upstream names no limit; below common server defaults.
   base::Millis idle_limit{4000};
   // Share of the upstream's idle limit after which a connection is closed, in
@@ -52,6 +56,15 @@
   virtual void OnUpstreamEnd(uint64_t exchange, base::EndKind kind,
                              http::Response response,
                              const AnswerMarks& marks) = 0;
+  // An answer whose body comes in parts. Nothing more of it is read until
+  // ResumeBody.
+  virtual void OnUpstreamLarge(uint64_t exchange, http::Response response,
+                               const AnswerMarks& marks) = 0;
+  // A part of such an answer; anything but kMore ends the exchange.
+  virtual void OnUpstreamBody(uint64_t exchange, std::string bytes,
+                              peers::BodyEnd end) = 0;
+  // All of the request's body that was given has been written.
+  virtual void OnUpstreamDrained(uint64_t exchange) = 0;
 };
 
 class UpstreamPool {
@@ -67,6 +80,13 @@
   // `request_id`: what the upstream repeats in its answer; empty: nothing.
   void Send(uint64_t exchange, const http::Request& request,
             const std::string& request_id, bool idempotent);
+  // The next part of the body of a request whose `rest` follows.
+  void SendBody(uint64_t exchange, std::string_view bytes, bool last);
+  // Bytes of the exchange's request that have not been written yet.
+  size_t unwritten(uint64_t exchange) const;
+  // Holds back, or goes on reading, an answer that comes in parts.
+  void PauseBody(uint64_t exchange);
+  void ResumeBody(uint64_t exchange);
   void Cancel(uint64_t exchange);
   void CloseIdle();
 
@@ -77,10 +97,13 @@
   class Connection;
   using Connections = std::list<Connection>;
 
+  Connection* Find(uint64_t exchange) const;
   Connection* TakeIdle(bool fresh);
   void Erase(Connection& connection);
   void OnEnd(Connection& connection, base::EndKind kind,
              http::Response response, const AnswerMarks& marks);
+  void OnBodyEnd(Connection& connection, std::string bytes, peers::BodyEnd end);
+  void Release(Connection& connection);
   void SweepIdle();
 
   boost::asio::io_context& io_;
