--- a/almondwind/cli/main.cc
+++ b/almondwind/cli/main.cc
@@ -43,8 +43,13 @@
         almondwind::node::RunNode(almondwind::node::ReadSettingsFile(settings));
   });
 
-  app.add_subcommand("sidecar", "run the node of a server on the platform")
-      ->callback([&] { code = platform::RunSidecar(); });
+  std::string bind_links;
+  auto* sidecar =
+      app.add_subcommand("sidecar", "run the node of a server on the platform");
+  sidecar->add_option("--bind-links", bind_links,
+                      "IP:PORT to listen at for links, where the address that "
+                      "peers use is forwarded");
+  sidecar->callback([&] { code = platform::RunSidecar(bind_links); });
 
   almondwind::load::LoadOptions load;
   auto* load_app = app.add_subcommand("load", "offer a mix of requests");
--- a/almondwind/peers/mesh.cc
+++ b/almondwind/peers/mesh.cc
@@ -135,7 +135,8 @@
 
 void Mesh::Listen() {
   acceptor_ = std::make_unique<loop::Acceptor>(
-      io_, timers_, options_.address,
+      io_, timers_,
+      options_.listen.empty() ? options_.address : options_.listen,
       [this](net::ip::tcp::socket socket) { OnAccepted(std::move(socket)); });
   last_beat_ = timers_.Now();
   beat_.Start(options_.heartbeat, [this] { Beat(); });
--- a/almondwind/peers/mesh.h
+++ b/almondwind/peers/mesh.h
@@ -37,7 +37,8 @@
 namespace almondwind::peers {
 
 struct MeshOptions {
-  std::string address;  // of this node, "ip:port"
+  std::string address;  // of this node, "ip:port", as others reach it
+  std::string listen;   // where it listens, if that is another; empty: no
   std::string zone;
   uint64_t incarnation = 0;
   HeaderNames header_names;
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -101,6 +101,7 @@
   std::string upstream;           // "ip:port" of the upstream beside the node
   std::string callers;            // "ip:port" for callers on this host
   std::string links;              // "ip:port" for links of peers
+  std::string bind_links;         // where to listen for them; empty: there
   std::string ready;              // "ip:port" at which readiness is asked for
   std::string store;              // "ip:port" of the platform's store
   std::string metrics;            // "ip:port" of the metrics; empty: none
