--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -18,7 +18,7 @@
 constexpr Millis kLinkPatience{1000};
 // A node that is behind a peer for this long asks it; a change takes about as
 // long to reach all nodes from the store.
-constexpr Millis kBehindPatience{400};
+constexpr Millis kBehindPatience{600};
 // At most one question in this time.
 constexpr Millis kAskInterval{300};
 constexpr Millis kSettingsPoll{1000};
@@ -39,6 +39,7 @@
                                    const Dialect& dialect) {
   peers::MeshOptions o;
   o.address = s.links;
+  o.listen = s.bind_links;
   o.zone = s.zone;
   o.incarnation = incarnation;
   o.header_names = dialect.CommonNames();
