--- a/almondwind/cli/commands.cc
+++ b/almondwind/cli/commands.cc
@@ -74,10 +74,13 @@
       continue;
     }
     std::string text = Fetch(address, "/status");
+    nlohmann::json status = nlohmann::json::parse(text);
     if (options.json) {
       std::cout << text << "\n";
+    } else if (status.contains("fleet_revision")) {
+      std::cout << status.dump(2) << "\n";  // of a sidecar
     } else {
-      PrintStatus(nlohmann::json::parse(text));
+      PrintStatus(status);
     }
   }
   return 0;
@@ -120,6 +123,9 @@
   auto* check = app.add_subcommand("check", "validate settings and policies");
   check->add_option("--settings", options->settings, "settings file");
   check->add_option("--policies", options->policies, "folder of TEAM.toml");
+  check->add_option("--sidecar", options->sidecar,
+                    "settings file of a sidecar");
+  check->add_option("--deploy", options->deploy, "deploy file of the platform");
   check->add_flag("--json", options->json, "a JSON line for each finding");
   check->callback([options, &code] { code = RunCheck(*options); });
 }
@@ -127,15 +133,33 @@
 void AddExplain(CLI::App& app, int& code) {
   auto options = std::make_shared<ExplainOptions>();
   auto* explain = app.add_subcommand("explain", "how a call would be treated");
-  explain->add_option("--policies", options->policies, "folder of TEAM.toml")
-      ->required();
+  auto node = std::make_shared<std::string>();
+  auto host = std::make_shared<std::string>();
+  auto* policies = explain->add_option("--policies", options->policies,
+                                       "folder of TEAM.toml");
+  auto* address = explain->add_option(
+      "--node", *node, "ask the sidecar whose metrics are at IP:PORT");
+  explain->add_option("--host", *host, "Host of the request, with --node");
+  policies->excludes(address);
   explain->add_option("--method", options->method, "HTTP method");
   explain->add_option("--target", options->target, "/TEAM/SERVICE/PATH")
       ->required();
   explain->add_option("--status", options->status,
                       "file with a node's status (status --json)");
   explain->add_flag("--json", options->json, "on one line");
-  explain->callback([options, &code] { code = RunExplain(*options); });
+  explain->callback([options, node, host, &code] {
+    if (node->empty()) {
+      if (options->policies.empty()) {
+        throw CLI::RequiredError("--policies or --node");
+      }
+      code = RunExplain(*options);
+      return;
+    }
+    using web::uri;
+    std::string page = "/explain?host=" + uri::encode_data_string(*host) +
+                       "&target=" + uri::encode_data_string(options->target);
+    std::cout << nlohmann::json::parse(Fetch(*node, page)).dump(2) << "\n";
+  });
 }
 
 void AddTrace(CLI::App& app, int& code) {
--- a/almondwind/cli/explain.cc
+++ b/almondwind/cli/explain.cc
@@ -14,6 +14,8 @@
 #include "almondwind/node/settings.h"
 #include "almondwind/teams/knob.h"
 #include "almondwind/teams/policy.h"
+#include "platform/deploy_file.h"
+#include "platform/settings_file.h"
 
 namespace almondwind::cli {
 
@@ -144,6 +146,22 @@
   return fate;
 }
 
+void CheckPlatformFiles(const CheckOptions& options,
+                        std::vector<Finding>& findings) {
+  if (!options.sidecar.empty()) {
+    try {
+      platform::ParseSettings(ReadFile(options.sidecar));
+    } catch (const base::Error& e) {
+      findings.push_back({options.sidecar, 0, e.what(), true});
+    }
+  }
+  if (options.deploy.empty()) return;
+  for (const std::string& what :
+       platform::CheckDeployFile(ReadFile(options.deploy))) {
+    findings.push_back({options.deploy, 0, what, true});
+  }
+}
+
 }  // namespace
 
 int RunCheck(const CheckOptions& options) {
@@ -159,6 +177,7 @@
     auto policies = ReadPolicies(options.policies, findings);
     WarnOfOffers(policies, findings);
   }
+  CheckPlatformFiles(options, findings);
   bool fault = false;
   for (const Finding& finding : findings) {
     fault = fault || finding.fault;
--- a/almondwind/cli/explain.h
+++ b/almondwind/cli/explain.h
@@ -11,6 +11,8 @@
 struct CheckOptions {
   std::string settings;  // file; empty: none
   std::string policies;  // folder of TEAM.toml files; empty: none
+  std::string sidecar;   // settings file of a sidecar; empty: none
+  std::string deploy;    // deploy file of the platform; empty: none
   bool json = false;
 };
 
--- a/almondwind/http/message.cc
+++ b/almondwind/http/message.cc
@@ -5,6 +5,7 @@
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/rfc7230.hpp>
 #include <boost/beast/http/status.hpp>
+#include <charconv>
 #include <cstdio>
 #include <ostream>  // Beast's headers use it
 
@@ -44,6 +45,21 @@
          method != "OPTIONS" && method != "TRACE";
 }
 
+// Decodes %XX; what is no escape stays as it is.
+std::string Unescape(std::string_view text) {
+  std::string out;
+  for (size_t i = 0; i < text.size(); ++i) {
+    unsigned value = 0;
+    const char* digits = text.data() + i + 1;
+    bool escape =
+        text[i] == '%' && i + 2 < text.size() &&
+        std::from_chars(digits, digits + 2, value, 16).ptr == digits + 2;
+    out.push_back(escape ? static_cast<char>(value) : text[i]);
+    if (escape) i += 2;
+  }
+  return out;
+}
+
 bool HasNoBody(int status) {
   return status / 100 == 1 || status == 204 || status == 304;
 }
@@ -143,6 +159,20 @@
   if (!rest.length) out.append("0\r\n\r\n");
 }
 
+std::string QueryValue(std::string_view target, std::string_view name) {
+  size_t at = target.find('?');
+  while (at != std::string_view::npos) {
+    std::string_view rest = target.substr(at + 1);
+    std::string_view pair = rest.substr(0, rest.find('&'));
+    size_t equals = pair.find('=');
+    if (equals != std::string_view::npos && pair.substr(0, equals) == name) {
+      return Unescape(pair.substr(equals + 1));
+    }
+    at = target.find('&', at + 1);
+  }
+  return {};
+}
+
 std::string ReasonPhrase(int status) {
   auto phrase = beast::http::obsolete_reason(
       beast::http::int_to_status(static_cast<unsigned>(status)));
--- a/almondwind/http/message.h
+++ b/almondwind/http/message.h
@@ -91,6 +91,9 @@
                     std::string& out);
 void AppendBodyEnd(const BodyRest& rest, std::string& out);
 
+// Returns the decoded value of `name` in the query of `target`; empty: none.
+std::string QueryValue(std::string_view target, std::string_view name);
+
 // Returns the standard reason phrase of `status`.
 std::string ReasonPhrase(int status);
 
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -102,7 +102,7 @@
   if (!settings.metrics.empty()) {
     metrics_pages_ = std::make_unique<PageServer>(
         io, timers, settings.metrics,
-        [this](const http::Request&) { return MetricsPage(); });
+        [this](const http::Request& r) { return OperatorsPage(r); });
   }
 }
 
@@ -396,6 +396,24 @@
   return response;
 }
 
+http::Response Node::OperatorsPage(const http::Request& request) {
+  if (request.path() != "/status" && request.path() != "/explain") {
+    return MetricsPage();
+  }
+  http::Response response;
+  response.status = 200;
+  response.reason = http::ReasonPhrase(response.status);
+  response.headers.Add("Content-Type", "application/json");
+  if (request.path() == "/status") {
+    response.body = Status().dump();
+  } else {
+    response.body = Explain(http::QueryValue(request.target, "host"),
+                            http::QueryValue(request.target, "target"))
+                        .dump();
+  }
+  return response;
+}
+
 void Node::Reload() {
   try {
     Settings settings = environment_.settings.Read();
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -14,6 +14,7 @@
 #include <boost/asio/io_context.hpp>
 #include <map>
 #include <memory>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <vector>
 
@@ -95,7 +96,14 @@
   void OnAsk(peers::Link& link, const peers::Ask& ask);
   void OnDocument(const peers::Document& document);
   http::Response Page(const http::Request& request);
+  // Pages for operators, on the metrics address: /status, /explain, metrics.
+  http::Response OperatorsPage(const http::Request& request);
   http::Response MetricsPage();
+  nlohmann::json Status();
+  // How a request for `target` at `host` would be treated now.
+  nlohmann::json Explain(const std::string& host, const std::string& target);
+  nlohmann::json DescribePart(const routes::Route& route,
+                              const routes::Part& part);
   void PollSettings();
   void PollStop();
   void PlanAdmission();
--- a/almondwind/sidecar/testing/path_test.cc
+++ b/almondwind/sidecar/testing/path_test.cc
@@ -2,6 +2,7 @@
 
 #define BOOST_TEST_MODULE sidecar_path
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 
 #include "almondwind/sidecar/testing/world.h"
 
@@ -310,4 +311,30 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(operators_see_state_and_treatment) {
+  World world(2, 21660);
+  for (int i = 0; i < 2; ++i) world.Publish(i, kSafe);
+  BOOST_TEST(world.Until([&] { return world.nodes[0]->peers_up() == 1; }));
+  TestCaller operators(world.io, world.timers, "127.0.0.1:21663");
+  auto page = [&](const std::string& target) {
+    size_t before = operators.answers.size();
+    operators.Send("GET " + target + " HTTP/1.1\r\nHost: o\r\n\r\n");
+    BOOST_TEST(world.Until([&] { return operators.answers.size() > before; }));
+    return operators.answers.back().body;
+  };
+  auto status = nlohmann::json::parse(page("/status"));
+  BOOST_TEST(status.at("config_version").get<int>() == 1);
+  BOOST_TEST(status.at("peers").size() == 1U);
+  BOOST_TEST(status.at("upstreams").get<int>() == 2);
+  auto known = nlohmann::json::parse(page("/explain?host=h&target=%2Fx%3Fa=1"));
+  BOOST_TEST(known.at("route").at("name") == "all");
+  const auto& part = known.at("parts").at(0);
+  BOOST_TEST(part.at("service") == "s");
+  BOOST_TEST(part.at("upstreams").size() == 2U);
+  BOOST_TEST(part.at("upstreams").at(1).at("reachable") == true);
+  auto unknown = nlohmann::json::parse(page("/explain?host=o&target=/x"));
+  BOOST_TEST(unknown.contains("refused"));
+  BOOST_TEST(page("/metrics").find("almondwind_") != std::string::npos);
+}
+
 }  // namespace almondwind::sidecar::testing
--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -192,6 +192,7 @@
     s.upstream = upstreams.back()->address();
     s.callers = "127.0.0.1:" + std::to_string(base + 1);
     s.ready = "127.0.0.1:" + std::to_string(base + 2);
+    s.metrics = "127.0.0.1:" + std::to_string(base + 3);
     s.peer_port = static_cast<uint16_t>(first_port + 9);
     s.links = Ip(i) + ":" + std::to_string(s.peer_port);
     s.max_descriptors = 256;
--- a/almondwind/sidecar/traffic.cc
+++ b/almondwind/sidecar/traffic.cc
@@ -149,4 +149,22 @@
   state.costs = tracker_.Costs(now);
 }
 
+std::string Traffic::KindName(const std::string& route) const {
+  switch (KindOf(route)) {
+    case RouteKind::kCalled:
+      return "called";
+    case RouteKind::kClients:
+      return "clients";
+    case RouteKind::kUnknown:
+      break;
+  }
+  return "unknown";
+}
+
+graph::Costs Traffic::CostsOf(const std::string& route,
+                              const std::string& service) {
+  if (table_ == nullptr) return {};
+  return costs_.Of(route, service, *table_, clock_.Now());
+}
+
 }  // namespace almondwind::sidecar
--- a/almondwind/sidecar/traffic.h
+++ b/almondwind/sidecar/traffic.h
@@ -66,6 +66,10 @@
   void Fill(peers::State& state);
 
   const graph::AdmissionPlan& plan() const { return plan_; }
+  // "clients", "called" or "unknown": who sends a route's requests.
+  std::string KindName(const std::string& route) const;
+  // Slot time and requests that one request of `route` causes, by service.
+  graph::Costs CostsOf(const std::string& route, const std::string& service);
 
  private:
   struct Arrivals {
