--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -7,7 +7,7 @@
 cd "$(dirname "$0")/.."
 scratch=${1:-build/mutants}
 mkdir -p "$scratch"
-cp -r --update almondwind CMakeLists.txt "$scratch/"
+cp -r --update almondwind platform CMakeLists.txt "$scratch/"
 cmake -S "$scratch" -B "$scratch/build" >/dev/null
 code=0
 
@@ -40,6 +40,38 @@
   touch "$scratch/$file"
 }
 
+# soak_mutant RULE FILE SED: the same for a mechanism of the sidecar, whose
+# break the soak must see as a broken RULE.
+soak_mutant() {
+  local rule=$1 file=$2 expression=$3
+  [[ -z ${ONLY:-} || " $ONLY " == *" $rule "* ]] || return
+  sed -i -E "$expression" "$scratch/$file"
+  if cmp -s "$file" "$scratch/$file"; then
+    echo "mutant $rule: expression fits no line of $file"
+    code=1
+    return
+  fi
+  local line
+  line=$(diff "$file" "$scratch/$file" | head -1)
+  if ! cmake --build "$scratch/build" -j "$(nproc)" \
+      --target soak almondwind >"$scratch/log" 2>&1; then
+    echo "mutant $rule: does not compile"
+    code=1
+  else
+    timeout 300 "$scratch/build/soak" --program "$scratch/build/almondwind" \
+      --folder "$scratch/soak" --seeds 3 --seconds 10 >"$scratch/log" 2>&1
+    if grep -q "^BROKEN $rule" "$scratch/log"; then
+      echo "mutant $rule: red ($file $line):" \
+        "$(grep -m1 "^BROKEN $rule" "$scratch/log" | cut -c1-80)"
+    else
+      echo "mutant $rule: NOT NOTICED ($file $line)"
+      code=1
+    fi
+  fi
+  cp -f "$file" "$scratch/$file"
+  touch "$scratch/$file"
+}
+
 mutant retries_bounded almondwind/node/router.cc \
   's/out\.permits = call\.permits - keep;/out.permits = keep == 0 ? 0 : 3;/'
 mutant critical_refused_last almondwind/machines/gate.cc \
@@ -58,4 +90,14 @@
   's/if \(leaving_\) return/if (false) return/'
 mutant config_never_reverts almondwind/teams/store.cc \
   's/value\.version < it->second\.version/false/'
+soak_mutant TWICE almondwind/sidecar/dispatcher.cc \
+  's/if \(call\.route->idempotent && MayRepeat\(call\)\) return Try/if (true) return Try/'
+soak_mutant MIXED almondwind/sidecar/upstream_pool.cc \
+  's/if \(marks\.request_id && \*marks\.request_id != request_id_\)/if (false)/'
+soak_mutant UNASKED almondwind/sidecar/dispatcher.cc \
+  's/dialect_\.RemoveSystemFields\(out\.headers\);//'
+soak_mutant REFUSED almondwind/sidecar/gate_server.cc \
+  's/if \(kind == EndKind::kClosed\) return Unknown/if (kind == EndKind::kClosed) return NotRun/'
+soak_mutant CONFIG almondwind/sidecar/node.cc \
+  's/if \(table->version\(\) <= have\) return;/if (have != 0) return;/'
 exit $code
