HTTP client: look at the error of a head before its length

Cause: HttpConnection::Read asked Beast for the length of a response whose head was not parsed, which aborts in builds with assertions when the upstream closes first. Ruled out: a fault of the stand-in; the assertion names the parser. Builds with NDEBUG passed because the value was not used then.

--- a/almondwind/links/http_client.cc
+++ b/almondwind/links/http_client.cc
@@ -131,13 +131,16 @@
   // response with a Content-Length is parsed in a single operation.
   http::async_read_header(
       stream_, buffer_, *parser_, [self](error_code ec, size_t) {
+        if (ec == http::error::body_limit) {
+          return self->Fail(EndKind::kTooLarge);
+        }
+        if (ec) return self->Fail(EndKind::kClosed);
+        // The length is known only once the header has been parsed.
         auto content_length = self->parser_->content_length();
         size_t limit = self->client_.options_.answer_bytes;
-        bool too_large = content_length.has_value() && *content_length > limit;
-        if (ec == http::error::body_limit || (!ec && too_large)) {
+        if (content_length.has_value() && *content_length > limit) {
           return self->Fail(EndKind::kTooLarge);
         }
-        if (ec) return self->Fail(EndKind::kClosed);
         self->ReadBody();
       });
 }
