Routes of kind download; a route of an unknown kind runs at most once

Cause: the configuration of the Escuintla deployments has routes of kind `download`, which the adapter did not know, so the whole configuration was refused and nothing was served.

`download` may be repeated, as `safe`.

--- a/almondwind/routes/table.h
+++ b/almondwind/routes/table.h
@@ -36,6 +36,9 @@
   std::string host;
   std::string prefix;  // starts and ends with a slash
   bool idempotent = false;
+  // The operators gave the route a kind that this version does not know. Its
+  // requests run at most once.
+  bool unknown_kind = false;
   int max_attempts = 1;  // upstreams that one request may be sent to
   base::Millis timeout{0};
   base::Millis target_latency{0};         // answers within it have full value
