--- /dev/null
+++ b/almondwind/fleet/changes_format.cc
@@ -0,0 +1,69 @@
+#include "almondwind/fleet/changes_format.h"
+
+#include <msgpack.hpp>
+#include <tuple>
+#include <vector>
+
+#include "almondwind/base/outcome.h"
+
+namespace almondwind::fleet {
+namespace {
+
+// The fields of an Upstream in wire order.
+using Row = std::tuple<std::string, std::string, std::string, std::string, int,
+                       bool, int64_t, int64_t, uint64_t>;
+using RemovalRow = std::tuple<std::string, uint64_t>;
+// The fields of Changes in wire order.
+using Wire = std::tuple<uint64_t, uint64_t, std::vector<Row>,
+                        std::vector<RemovalRow>, int64_t>;
+
+}  // namespace
+
+std::string EncodeChanges(const Changes& changes) {
+  std::vector<Row> rows;
+  rows.reserve(changes.upstreams.size());
+  for (const Upstream& u : changes.upstreams) {
+    rows.emplace_back(u.id, u.service, u.address, u.zone, u.slots, u.draining,
+                      u.cold_left.count(), u.started_at, u.revision);
+  }
+  std::vector<RemovalRow> removals;
+  removals.reserve(changes.removals.size());
+  for (const Removal& r : changes.removals) {
+    removals.emplace_back(r.id, r.revision);
+  }
+  msgpack::sbuffer buffer;
+  msgpack::pack(buffer,
+                Wire(changes.since, changes.revision, std::move(rows),
+                     std::move(removals), changes.recovery_left.count()));
+  return {buffer.data(), buffer.size()};
+}
+
+Changes DecodeChanges(const std::string& text) {
+  Changes out;
+  try {
+    msgpack::object_handle handle = msgpack::unpack(text.data(), text.size());
+    auto [since, revision, rows, removals, recovery_ms] =
+        handle.get().as<Wire>();
+    out.since = since;
+    out.revision = revision;
+    out.recovery_left = base::Millis(recovery_ms);
+    for (const Row& row : rows) {
+      Upstream u;
+      int64_t cold_ms = 0;
+      std::tie(u.id, u.service, u.address, u.zone, u.slots, u.draining, cold_ms,
+               u.started_at, u.revision) = row;
+      u.cold_left = base::Millis(cold_ms);
+      out.upstreams.push_back(std::move(u));
+    }
+    for (const RemovalRow& row : removals) {
+      out.removals.push_back({std::get<0>(row), std::get<1>(row)});
+    }
+  } catch (const std::exception& e) {
+    throw base::Error(
+        base::Reason::kMalformed,
+        std::string("cannot decode the changes of the fleet: ") + e.what());
+  }
+  return out;
+}
+
+}  // namespace almondwind::fleet
--- a/almondwind/fleet/testing/view_test.cc
+++ b/almondwind/fleet/testing/view_test.cc
@@ -9,7 +9,7 @@
 #include <random>
 
 #include "almondwind/base/outcome.h"
-#include "almondwind/fleet/list_format.h"
+#include "almondwind/fleet/changes_format.h"
 
 namespace almondwind::fleet {
 namespace {
@@ -88,14 +88,135 @@
   BOOST_TEST(view.Current()[0]->id == "new");
 }
 
-BOOST_AUTO_TEST_CASE(a_list_survives_the_way_to_a_peer) {
-  std::vector<Upstream> list = {Entry("a", 7), Entry("b", 8, true)};
-  list[1].cold_left = Millis(1234);
-  std::vector<Upstream> decoded = DecodeList(EncodeList(list));
-  BOOST_TEST(decoded.size() == 2U);
-  BOOST_TEST(decoded[1].EqualsIgnoringRevision(list[1]));
-  BOOST_TEST(decoded[1].revision == 8U);
-  BOOST_CHECK_THROW(DecodeList("nonsense"), base::Error);
+BOOST_AUTO_TEST_CASE(changes_survive_the_way_to_a_peer) {
+  Changes changes;
+  changes.since = 5;
+  changes.revision = 9;
+  changes.upstreams = {Entry("a", 7), Entry("b", 8, true)};
+  changes.upstreams[1].cold_left = Millis(1234);
+  changes.removals = {{"c", 6}};
+  changes.recovery_left = Millis(700);
+  Changes decoded = DecodeChanges(EncodeChanges(changes));
+  BOOST_TEST(decoded.since == 5U);
+  BOOST_TEST(decoded.revision == 9U);
+  BOOST_TEST(decoded.upstreams.size() == 2U);
+  BOOST_TEST(decoded.upstreams[1].EqualsIgnoringRevision(changes.upstreams[1]));
+  BOOST_TEST(decoded.upstreams[1].revision == 8U);
+  BOOST_REQUIRE(decoded.removals.size() == 1U);
+  BOOST_TEST(decoded.removals[0].id == "c");
+  BOOST_TEST(decoded.removals[0].revision == 6U);
+  BOOST_TEST(decoded.recovery_left.count() == 700);
+  BOOST_CHECK_THROW(DecodeChanges("nonsense"), base::Error);
+}
+
+BOOST_AUTO_TEST_CASE(changes_hold_what_a_peer_lacks) {
+  View view({});
+  view.Replace({Entry("a", 1), Entry("b", 2), Entry("c", 3)}, 4, Millis(1000));
+  view.Put(Entry("b", 6, true));
+  view.Remove("c", 7, Millis(1000));
+  view.Advance(7);
+  Changes changes = view.ChangesSince(5, Millis(1000));
+  BOOST_TEST(changes.since == 5U);
+  BOOST_REQUIRE(changes.upstreams.size() == 1U);
+  BOOST_TEST(changes.upstreams[0].id == "b");
+  BOOST_REQUIRE(changes.removals.size() == 1U);
+  BOOST_TEST(changes.removals[0].id == "c");
+  // What happened before the first list is not known, so all is sent.
+  BOOST_TEST(view.ChangesSince(3, Millis(1000)).since == 0U);
+  BOOST_TEST(view.ChangesSince(0, Millis(1000)).upstreams.size() == 2U);
+}
+
+// A peer's changes were collected before the store told this node of a later
+// removal. They must not bring the upstream back.
+BOOST_AUTO_TEST_CASE(late_changes_do_not_bring_back_what_has_left) {
+  View peer({});
+  View view({});
+  peer.Replace({Entry("a", 1)}, 4, Millis(1000));
+  view.Replace({Entry("a", 1)}, 4, Millis(1000));
+  peer.Put(Entry("x", 5, true));
+  peer.Advance(5);
+  Changes late = peer.ChangesSince(4, Millis(1000));
+  view.Put(Entry("x", 5, true));
+  view.Remove("x", 6, Millis(1000));
+  view.Advance(6);
+  BOOST_TEST(!view.Apply(late, Millis(1000)));
+  BOOST_TEST(view.upstreams().count("x") == 0U);
+  peer.Put(Entry("b", 9));
+  peer.Advance(9);
+  view.Apply(peer.ChangesSince(4, Millis(1000)), Millis(1000));
+  BOOST_TEST(view.upstreams().count("x") == 0U);
+  BOOST_TEST(view.upstreams().count("b") == 1U);
+  BOOST_TEST(view.revision() == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(changes_with_a_gap_before_them_are_not_applied) {
+  View view({});
+  view.Replace({Entry("a", 1)}, 4, Millis(1000));
+  Changes changes;
+  changes.since = 6;
+  changes.revision = 8;
+  changes.upstreams = {Entry("b", 7)};
+  BOOST_TEST(!view.Apply(changes, Millis(1000)));
+  BOOST_TEST(view.revision() == 4U);
+  BOOST_TEST(view.upstreams().size() == 1U);
+}
+
+// A node that does not read the store learns of an outage with the changes:
+// entries that lapsed in it are kept until they can be back.
+BOOST_AUTO_TEST_CASE(an_outage_is_told_with_the_changes) {
+  View reader({});
+  View follower({});
+  reader.Replace({Entry("a", 1)}, 4, Millis(1000));
+  follower.Replace({Entry("a", 1)}, 4, Millis(1000));
+  reader.OnStoreReturned(Millis(8000));
+  reader.Remove("a", 5, Millis(8000));
+  reader.Advance(5);
+  follower.Apply(reader.ChangesSince(4, Millis(8100)), Millis(8100));
+  BOOST_TEST(!follower.Sweep(Millis(10'000)));
+  BOOST_TEST(follower.upstreams().count("a") == 1U);
+  BOOST_TEST(follower.Sweep(Millis(10'300)));
+}
+
+// A chain of views, each fed by the changes of the one before it at random
+// times, must end in the store's state and never go back.
+BOOST_AUTO_TEST_CASE(changes_in_a_chain_end_in_the_stores_state) {
+  for (uint64_t seed = 1; seed <= 200; ++seed) {
+    std::mt19937_64 random(seed);
+    std::vector<View> views(4, View(ViewOptions()));
+    std::map<std::string, Upstream> store;
+    Millis now(1000);
+    uint64_t revision = 1;
+    views[0].Replace({}, revision, now);
+    for (int step = 0; step < 800; ++step) {
+      now = now + Millis(static_cast<int64_t>(random() % 500));
+      std::string id = "u" + std::to_string(random() % 7);
+      ++revision;
+      if (random() % 3 == 0) {
+        store.erase(id);
+        views[0].Remove(id, revision, now);
+      } else {
+        store[id] = Entry(id, revision, random() % 4 == 0);
+        views[0].Put(store[id]);
+      }
+      views[0].Advance(revision);
+      size_t i = 1 + random() % 3;
+      uint64_t before = views[i].revision();
+      if (random() % 8 == 0) {
+        views[i].Apply(views[i - 1].ChangesSince(before, now), now);
+      }
+      BOOST_TEST(views[i].revision() >= before);
+      views[i].Sweep(now);
+    }
+    for (size_t i = 1; i < views.size(); ++i) {
+      views[i].Apply(views[i - 1].ChangesSince(views[i].revision(), now), now);
+      views[i].Sweep(now + Millis(5000));
+      BOOST_TEST(views[i].revision() == revision, "seed " << seed);
+      BOOST_TEST(views[i].upstreams().size() == store.size(), "seed " << seed);
+      for (const auto& [name, upstream] : store) {
+        BOOST_TEST(views[i].upstreams().count(name) == 1U, "seed " << seed);
+      }
+    }
+  }
 }
 
 // Lists of any age arrive in random order, as from peers, while the store
--- a/almondwind/fleet/view.cc
+++ b/almondwind/fleet/view.cc
@@ -18,6 +18,7 @@
 bool View::Replace(const std::vector<Upstream>& upstreams, uint64_t revision,
                    Millis now) {
   if (revision <= revision_ && revision_ != 0) return false;
+  if (revision_ == 0) removals_complete_from_ = revision;
   bool changed = false;
   std::set<std::string> present;
   for (const Upstream& upstream : upstreams) {
@@ -51,10 +52,19 @@
   if (it == upstreams_.end()) return false;
   if (revision < it->second.revision) return false;
   it->second.revision = revision;
+  RecordRemoval(id, revision);
   ScheduleRemoval(id, now);
   return true;
 }
 
+void View::RecordRemoval(const std::string& id, uint64_t revision) {
+  removals_.push_back({id, revision});
+  if (removals_.size() <= kMaxRemovals) return;
+  removals_complete_from_ =
+      std::max(removals_complete_from_, removals_.front().revision);
+  removals_.pop_front();
+}
+
 void View::ScheduleRemoval(const std::string& id, Millis now) {
   auto it = upstreams_.find(id);
   if (it == upstreams_.end() || pending_removals_.count(id) != 0) return;
@@ -71,7 +81,11 @@
 }
 
 void View::OnStoreReturned(Millis now) {
-  recovering_until_ = now + options_.recovery_removal_delay;
+  DelayRemovals(now + options_.recovery_removal_delay);
+}
+
+void View::DelayRemovals(Millis until) {
+  recovering_until_ = std::max(recovering_until_, until);
   for (auto& [id, due] : pending_removals_) {
     due = std::max(due, recovering_until_);
   }
@@ -132,4 +146,47 @@
   return out;
 }
 
+Changes View::ChangesSince(uint64_t revision, Millis now) const {
+  Changes changes;
+  changes.revision = revision_;
+  changes.recovery_left = std::max(Millis(0), recovering_until_ - now);
+  if (revision == 0 || revision < removals_complete_from_) {
+    changes.upstreams = List();
+    return changes;
+  }
+  changes.since = revision;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.revision > revision && pending_removals_.count(id) == 0) {
+      changes.upstreams.push_back(upstream);
+    }
+  }
+  for (const Removal& removal : removals_) {
+    if (removal.revision > revision) changes.removals.push_back(removal);
+  }
+  return changes;
+}
+
+bool View::Apply(const Changes& changes, Millis now) {
+  if (changes.revision <= revision_ && revision_ != 0) return false;
+  if (changes.recovery_left > Millis(0)) {
+    DelayRemovals(now + changes.recovery_left);
+  }
+  if (changes.since == 0) {
+    return Replace(changes.upstreams, changes.revision, now);
+  }
+  if (changes.since > revision_) return false;
+  bool changed = false;
+  for (const Upstream& upstream : changes.upstreams) {
+    // What this view has up to its revision may include a later removal.
+    if (upstream.revision <= revision_) continue;
+    changed = Put(upstream) || changed;
+  }
+  for (const Removal& removal : changes.removals) {
+    if (removal.revision <= revision_) continue;
+    changed = Remove(removal.id, removal.revision, now) || changed;
+  }
+  Advance(changes.revision);
+  return changed;
+}
+
 }  // namespace almondwind::fleet
--- a/almondwind/fleet/view.h
+++ b/almondwind/fleet/view.h
@@ -4,6 +4,10 @@
 // a newer view supplies a complete list. Each list and change carries the
 // store's revision, and an older one never replaces a newer one.
 //
+// Peers exchange Changes: what happened after a revision that the receiver has.
+// The removals of the past are kept for that, at most View::kMaxRemovals; for
+// an older revision the changes are the complete list.
+//
 // An entry that is removed without having been marked as draining is kept for a
 // short time: entries of running upstreams expire while the store is
 // unavailable and are restored soon after it returns. Sweep removes the entries
@@ -19,6 +23,7 @@
 #define ALMONDWIND_FLEET_VIEW_H_
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <string_view>
@@ -44,6 +49,23 @@
   bool EqualsIgnoringRevision(const Upstream& o) const;
 };
 
+// An upstream whose entry was removed from the store.
+struct Removal {
+  std::string id;
+  uint64_t revision = 0;  // store revision of the removal
+};
+
+// What a peer needs to bring its view from revision `since` to `revision`.
+struct Changes {
+  uint64_t since = 0;  // 0: `upstreams` is the complete list
+  uint64_t revision = 0;
+  std::vector<Upstream> upstreams;
+  std::vector<Removal> removals;
+  // How much longer entries that vanish are kept because of an outage of the
+  // store; the receiver may not have noticed the outage.
+  base::Millis recovery_left{0};
+};
+
 struct ViewOptions {
   // How long an entry that was removed without draining is kept: normally, and
   // after an outage of the store, counted from the store's return. The normal
@@ -89,18 +111,31 @@
   // the most recently started one. The entries of its predecessors remain in
   // the store for some heartbeats.
   std::vector<const Upstream*> Current() const;
-  // Returns the upstreams whose removal is not pending, for sending to a peer.
+  // Returns the upstreams whose removal is not pending.
   std::vector<Upstream> List() const;
+  // Returns what a peer whose view is complete up to `revision` lacks.
+  Changes ChangesSince(uint64_t revision, base::Millis now) const;
+  // Applies a peer's changes, unless the view is as new already or lacks what
+  // happened before them. Returns whether anything changed.
+  bool Apply(const Changes& changes, base::Millis now);
   // Store revision up to which the view is complete; 0 if nothing is known.
   uint64_t revision() const { return revision_; }
 
  private:
+  static constexpr size_t kMaxRemovals = 512;
+
   void ScheduleRemoval(const std::string& id, base::Millis now);
+  // Keeps entries that vanish at least until `until`.
+  void DelayRemovals(base::Millis until);
+  void RecordRemoval(const std::string& id, uint64_t revision);
 
   const ViewOptions options_;
   std::map<std::string, Upstream> upstreams_;
   std::map<std::string, base::Millis> pending_removals_;  // due time, by id
   uint64_t revision_ = 0;
+  // Removals after removals_complete_from_, in the order in which they came.
+  std::deque<Removal> removals_;
+  uint64_t removals_complete_from_ = 0;
   base::Millis recovering_until_{0};
 };
 
--- a/almondwind/peers/frames.cc
+++ b/almondwind/peers/frames.cc
@@ -73,7 +73,8 @@
 }
 template <typename F>
 void VisitFields(F& f, State& m) {
-  f(m.config_version, m.fleet_revision, m.leaving, m.service, m.load,
+  f(m.config_version, m.fleet_revision, m.confirmed_revision,
+    m.confirmed_age_ms, m.can_read_store, m.leaving, m.service, m.load,
     m.detailed, m.demand, m.costs);
 }
 template <typename F>
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -28,7 +28,7 @@
 
 // Incremented whenever a field changes meaning; a peer with another version is
 // refused at Hello.
-constexpr uint32_t kProtocolVersion = 3;
+constexpr uint32_t kProtocolVersion = 4;
 
 enum class FrameType : uint8_t {
   kHello,
@@ -76,6 +76,11 @@
 struct State {
   uint64_t config_version = 0;
   uint64_t fleet_revision = 0;
+  // The sender had everything up to this revision of the store when the store
+  // was at it, which is confirmed_age_ms ago; 0: nothing yet.
+  uint64_t confirmed_revision = 0;
+  uint32_t confirmed_age_ms = 0;
+  bool can_read_store = true;
   bool leaving = false;
   std::string service;  // of the sender's upstream
   links::Load load;
--- a/almondwind/peers/mesh.cc
+++ b/almondwind/peers/mesh.cc
@@ -268,6 +268,12 @@
   for (Link* link : up_links()) link->Send(events_.Report(link->zone()));
 }
 
+void Mesh::BroadcastState(const std::string& zone) {
+  for (Link* link : up_links()) {
+    if (link->zone() == zone) link->Send(events_.Report(zone));
+  }
+}
+
 void Mesh::Close() {
   if (acceptor_ != nullptr) acceptor_->Close();
   heartbeat_timer_.Stop();
--- a/almondwind/peers/mesh.h
+++ b/almondwind/peers/mesh.h
@@ -126,6 +126,8 @@
   Link* Find(const std::string& address) const;
   // Sends the state to all peers now, for example because it has changed.
   void BroadcastState();
+  // Sends it to the peers in `zone` only.
+  void BroadcastState(const std::string& zone);
   void Close();
   // Returns all links that are up.
   std::vector<Link*> up_links() const;
--- /dev/null
+++ b/almondwind/sidecar/documents.cc
@@ -0,0 +1,214 @@
+#include "almondwind/sidecar/documents.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "almondwind/fleet/changes_format.h"
+
+namespace almondwind::sidecar {
+
+using base::Millis;
+using fleet::WatchMode;
+
+Documents::Documents(loop::Timers& timers, const DocumentsOptions& options,
+                     const ConfigFormat& format, Feed& feed, EventLog& log,
+                     DocumentsEvents& events)
+    : timers_(timers),
+      options_(options),
+      format_(format),
+      feed_(feed),
+      log_(log),
+      events_(events),
+      view_(fleet::ViewOptions()),
+      election_(options.election, options.address),
+      sweep_(timers) {}
+
+void Documents::Start() { feed_.Start(*this); }
+
+uint64_t Documents::config_version() const {
+  return table_ == nullptr ? 0 : table_->version();
+}
+
+void Documents::UpdateWatch() {
+  WatchMode mode = election_.Mode(timers_.Now());
+  if (mode != mode_) {
+    log_.Write("store_watch",
+               {{"mode", base::NameOf(fleet::kWatchModeNames, mode)},
+                {"before", base::NameOf(fleet::kWatchModeNames, mode_)},
+                {"revision", complete_revision_},
+                {"confirmed_ms_ago",
+                 (timers_.Now() - election_.confirmed_at()).count()}});
+    // Whether a node that does not read could is unknown; it is asked again
+    // when its turn comes.
+    if (mode == WatchMode::kNone) election_.SetCanRead(true);
+  }
+  mode_ = mode;
+  feed_.Watch(mode, complete_revision_);
+}
+
+// ---- From the store.
+
+void Documents::OnConfig(const std::string& document) {
+  news_ = ApplyConfig(document, "store") || news_;
+}
+
+void Documents::OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
+                            uint64_t revision) {
+  if (view_.Replace(upstreams, revision, timers_.Now())) OnViewChanged();
+}
+
+void Documents::OnUpstream(const fleet::Upstream& upstream) {
+  news_ = true;
+  if (view_.Put(upstream)) OnViewChanged();
+}
+
+void Documents::OnUpstreamGone(const std::string& id, uint64_t revision) {
+  news_ = true;
+  if (view_.Remove(id, revision, timers_.Now())) OnViewChanged();
+}
+
+void Documents::OnRevision(uint64_t revision) {
+  view_.Advance(revision);
+  complete_revision_ = std::max(complete_revision_, revision);
+  election_.OnConfirmed(timers_.Now());
+  if (std::exchange(news_, false)) events_.OnNews();
+}
+
+void Documents::OnAvailable(bool available, const std::string& why) {
+  if (available) view_.OnStoreReturned(timers_.Now());
+  election_.SetCanRead(available);
+  log_.Write(available ? "store_back" : "store_lost",
+             {{"why", why}, {"revision", view_.revision()}});
+}
+
+void Documents::OnUnreadable(const std::string& key, const std::string& why) {
+  log_.Write("unreadable", {{"key", key}, {"why", why}});
+}
+
+// ---- From any source.
+
+bool Documents::ApplyConfig(const std::string& document,
+                            const std::string& source) {
+  routes::RouteTablePtr table;
+  try {
+    table = format_.Parse(document);
+  } catch (const base::Error& e) {
+    log_.Write("config_refused", {{"source", source}, {"why", e.what()}});
+    return false;
+  }
+  uint64_t have = config_version();
+  if (table->version() <= have) return false;
+  table_ = table;
+  config_document_ = document;
+  log_.Write("config", {{"version", table->version()},
+                        {"before", have},
+                        {"source", source},
+                        {"routes", table->routes().size()}});
+  for (const auto& [name, route] : table->routes()) {
+    if (!route.unknown_kind) continue;
+    log_.Write("route_kind_unknown",
+               {{"version", table->version()}, {"route", name}});
+  }
+  events_.OnTable(table);
+  return true;
+}
+
+void Documents::OnViewChanged() {
+  events_.OnFleet();
+  Millis sweep = view_.UntilSweep(timers_.Now());
+  if (sweep >= Millis(0)) {
+    sweep_.Start(sweep + Millis(1), [this] { SweepView(); });
+  }
+  log_.Write("fleet", {{"revision", view_.revision()},
+                       {"upstreams", view_.upstreams().size()}});
+}
+
+void Documents::SweepView() {
+  if (view_.Sweep(timers_.Now())) OnViewChanged();
+}
+
+// ---- Peers.
+
+void Documents::FillState(peers::State& state) const {
+  state.config_version = config_version();
+  state.fleet_revision = view_.revision();
+  state.confirmed_revision = complete_revision_;
+  Millis age = timers_.Now() - election_.confirmed_at();
+  state.confirmed_age_ms =
+      static_cast<uint32_t>(std::clamp<int64_t>(age.count(), 0, UINT32_MAX));
+  state.can_read_store = election_.can_read();
+}
+
+void Documents::OnState(peers::Link& link, const peers::State& state) {
+  if (link.zone() == options_.zone) {
+    election_.SetPeer(link.peer(), state.can_read_store && !state.leaving);
+  }
+  using Kind = peers::DocumentKind;
+  RequestIfBehind(link, Kind::kConfig, newer_config_, state.config_version,
+                  config_version());
+  RequestIfBehind(link, Kind::kFleet, newer_fleet_, state.fleet_revision,
+                  view_.revision());
+  bool has_all = state.config_version <= config_version() &&
+                 state.confirmed_revision <= view_.revision();
+  if (state.confirmed_revision == 0 || !has_all) return;
+  complete_revision_ = std::max(complete_revision_, state.confirmed_revision);
+  election_.OnConfirmed(timers_.Now() - Millis(state.confirmed_age_ms));
+}
+
+void Documents::OnLinkDown(const peers::Link& link) {
+  election_.RemovePeer(link.peer());
+}
+
+// A reader of the store, or the own zone, delivers a newer document soon, so
+// only a follower asks its zone immediately. A peer may be as outdated as this
+// node, so the delay counts from when the newest version known of any peer
+// became newer than this node's. A node without any version asks whoever has
+// one.
+void Documents::RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
+                                NewerVersion& newer, uint64_t theirs,
+                                uint64_t ours) {
+  Millis now = timers_.Now();
+  if (newer.newest <= ours) newer.since = Millis(0);
+  newer.newest = std::max(newer.newest, theirs);
+  if (theirs <= ours) return;
+  if (newer.since == Millis(0)) newer.since = now;
+  bool reads_store = mode_ != WatchMode::kNone;
+  bool wait = ours != 0 && (reads_store || link.zone() != options_.zone);
+  if (wait && now - newer.since < options_.behind_delay) return;
+  if (now - newer.requested_at < options_.request_interval) return;
+  newer.requested_at = now;
+  link.Send(peers::DocumentRequest{static_cast<uint8_t>(kind), ours});
+}
+
+void Documents::OnRequest(peers::Link& link,
+                          const peers::DocumentRequest& request) {
+  peers::Document document;
+  document.kind = request.kind;
+  if (request.kind == static_cast<uint8_t>(peers::DocumentKind::kConfig)) {
+    if (table_ == nullptr || table_->version() <= request.known_version) return;
+    document.version = table_->version();
+    document.text = config_document_;
+  } else {
+    if (view_.revision() <= request.known_version) return;
+    document.version = view_.revision();
+    document.text = fleet::EncodeChanges(
+        view_.ChangesSince(request.known_version, timers_.Now()));
+  }
+  link.Send(document);
+}
+
+void Documents::OnDocument(const peers::Document& document) {
+  if (document.kind == static_cast<uint8_t>(peers::DocumentKind::kConfig)) {
+    ApplyConfig(document.text, "peer");
+    return;
+  }
+  try {
+    fleet::Changes changes = fleet::DecodeChanges(document.text);
+    if (view_.Apply(changes, timers_.Now())) OnViewChanged();
+  } catch (const base::Error& e) {
+    log_.Write("unreadable", {{"key", "peer's changes"}, {"why", e.what()}});
+  }
+}
+
+}  // namespace almondwind::sidecar
--- /dev/null
+++ b/almondwind/sidecar/documents.h
@@ -0,0 +1,120 @@
+// What this node knows of the platform's documents: the operators'
+// configuration and the list of upstreams.
+//
+// A few nodes of each zone read the platform's store (fleet/reader_election.h).
+// When they learn of a newer document they tell the nodes of their zone, which
+// then request what they lack. A node whose zone does not deliver asks peers of
+// other zones. A document never replaces a newer one.
+//
+//   Documents documents(timers, options, environment, log, events);
+//   documents.Start();
+//   documents.FillState(state);        // in every state report
+//   documents.OnState(link, state);    // of every peer
+//
+// Cost: a change costs a request and a response for each node of the zone; the
+// response holds the changes only. Not thread-safe.
+#ifndef ALMONDWIND_SIDECAR_DOCUMENTS_H_
+#define ALMONDWIND_SIDECAR_DOCUMENTS_H_
+
+#include <string>
+#include <vector>
+
+#include "almondwind/fleet/reader_election.h"
+#include "almondwind/fleet/view.h"
+#include "almondwind/loop/timers.h"
+#include "almondwind/peers/mesh.h"
+#include "almondwind/sidecar/environment.h"
+#include "almondwind/sidecar/event_log.h"
+
+namespace almondwind::sidecar {
+
+struct DocumentsOptions {
+  std::string address;  // "ip:port" at which peers reach this node
+  std::string zone;
+  fleet::ElectionOptions election;
+  // How long a newer document may be known to exist before peers are asked for
+  // it that are not expected to deliver it first.
+  base::Millis behind_delay{600};
+  // Minimum time between two requests for a document.
+  base::Millis request_interval{300};
+};
+
+class DocumentsEvents {
+ public:
+  virtual ~DocumentsEvents() = default;
+  virtual void OnTable(const routes::RouteTablePtr& table) = 0;
+  virtual void OnFleet() = 0;
+  // A newer document came from the store, which peers of the zone lack.
+  virtual void OnNews() = 0;
+};
+
+class Documents : public FeedEvents {
+ public:
+  Documents(loop::Timers& timers, const DocumentsOptions& options,
+            const ConfigFormat& format, Feed& feed, EventLog& log,
+            DocumentsEvents& events);
+
+  void Start();
+  void Stop() { feed_.Stop(); }
+  // Follows the store as the election has it. Called a few times per second.
+  void UpdateWatch();
+
+  const fleet::View& view() const { return view_; }
+  const routes::RouteTablePtr& table() const { return table_; }
+  uint64_t config_version() const;
+  fleet::WatchMode watch_mode() const { return mode_; }
+  // Time since which changes of the store may have been missed.
+  base::Millis confirmed_at() const { return election_.confirmed_at(); }
+
+  void FillState(peers::State& state) const;
+  void OnState(peers::Link& link, const peers::State& state);
+  void OnLinkDown(const peers::Link& link);
+  void OnRequest(peers::Link& link, const peers::DocumentRequest& request);
+  void OnDocument(const peers::Document& document);
+
+  void OnConfig(const std::string& document) override;
+  void OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
+                   uint64_t revision) override;
+  void OnUpstream(const fleet::Upstream& upstream) override;
+  void OnUpstreamGone(const std::string& id, uint64_t revision) override;
+  void OnRevision(uint64_t revision) override;
+  void OnAvailable(bool available, const std::string& why) override;
+  void OnUnreadable(const std::string& key, const std::string& why) override;
+
+ private:
+  // The newest version of a document that any peer has reported, for fetching
+  // it while this node's own is older.
+  struct NewerVersion {
+    uint64_t newest = 0;
+    base::Millis since{0};
+    base::Millis requested_at{0};
+  };
+
+  bool ApplyConfig(const std::string& document, const std::string& source);
+  void OnViewChanged();
+  void SweepView();
+  void RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
+                       NewerVersion& newer, uint64_t theirs, uint64_t ours);
+
+  loop::Timers& timers_;
+  const DocumentsOptions options_;
+  const ConfigFormat& format_;
+  Feed& feed_;
+  EventLog& log_;
+  DocumentsEvents& events_;
+  fleet::View view_;
+  fleet::ReaderElection election_;
+  fleet::WatchMode mode_ = fleet::WatchMode::kShort;
+  routes::RouteTablePtr table_;
+  std::string config_document_;
+  // Revision of the store up to which both documents are complete.
+  uint64_t complete_revision_ = 0;
+  bool news_ = false;  // changes from the store have not been told to peers
+  NewerVersion newer_config_;
+  NewerVersion newer_fleet_;
+  loop::Timer sweep_;
+};
+
+}  // namespace almondwind::sidecar
+
+#endif  // ALMONDWIND_SIDECAR_DOCUMENTS_H_
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "almondwind/base/clock.h"
+#include "almondwind/fleet/reader_election.h"
 #include "almondwind/fleet/view.h"
 #include "almondwind/http/message.h"
 #include "almondwind/routes/retry_budget.h"
@@ -80,7 +81,14 @@
 class Feed {
  public:
   virtual ~Feed() = default;
+  // Delivers the configuration and the complete list of upstreams once, then
+  // their changes as Watch has it.
   virtual void Start(FeedEvents& events) = 0;
+  // Changes how changes are followed, or goes on without any change of that.
+  // The caller knows everything up to `revision`, also without this feed; above
+  // 0, a list that is still outstanding is not needed unless `mode` follows the
+  // store.
+  virtual void Watch(fleet::WatchMode mode, uint64_t revision) = 0;
   virtual void Stop() = 0;
 };
 
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -5,8 +5,6 @@
 #include <set>
 #include <utility>
 
-#include "almondwind/fleet/list_format.h"
-
 namespace almondwind::sidecar {
 
 using base::Millis;
@@ -16,11 +14,6 @@
 
 // Time after the start for which readiness waits for links to come up.
 constexpr Millis kLinkUpTimeout{1000};
-// A node requests a document from a peer after having an older one for this
-// long. The store delivers a change to all nodes in about the same time.
-constexpr Millis kBehindDelay{600};
-// Minimum time between two such requests.
-constexpr Millis kRequestInterval{300};
 constexpr Millis kSettingsPollInterval{1000};
 constexpr Millis kShutdownPollInterval{50};
 // Interval of admission planning, half that of the peers' heartbeats.
@@ -47,6 +40,13 @@
   return o;
 }
 
+DocumentsOptions DocumentsOptionsFrom(const Settings& s) {
+  DocumentsOptions o;
+  o.address = s.links;
+  o.zone = s.zone;
+  return o;
+}
+
 DispatcherOptions DispatcherOptionsFrom(const Settings& s) {
   DispatcherOptions o;
   o.service = s.service;
@@ -81,7 +81,8 @@
       environment_(environment),
       log_(log),
       started_(timers.Now()),
-      view_(fleet::ViewOptions()),
+      documents_(timers, DocumentsOptionsFrom(settings),
+                 environment.config_format, environment.feed, log, *this),
       traffic_(TrafficOptions(), timers.clock()),
       gate_(timers, environment.dialect, GateServerOptions(), log, metrics_,
             traffic_),
@@ -93,7 +94,6 @@
       callers_(io, timers, CallerOptionsFrom(settings), dispatcher_),
       pages_(io, timers, settings.ready,
              [this](const http::Request& r) { return ReadinessPage(r); }),
-      sweep_(timers),
       settings_poll_(timers),
       stop_poll_(timers),
       plan_timer_(timers) {
@@ -112,7 +112,7 @@
 
 void Node::Start() {
   mesh_.Listen();
-  environment_.feed.Start(*this);
+  documents_.Start();
   settings_poll_.Start(kSettingsPollInterval, [this] { PollSettings(); });
   PlanAdmission();
   log_.Write("started", {{"service", settings_.service},
@@ -121,7 +121,8 @@
 }
 
 bool Node::ready() const {
-  if (stopping_ || table_ == nullptr || view_.revision() == 0) return false;
+  if (stopping_ || documents_.table() == nullptr) return false;
+  if (documents_.view().revision() == 0) return false;
   if (timers_.Now() - started_ > kLinkUpTimeout) return true;
   std::set<std::string> peers;
   for (const auto& [name, machine] : dispatcher_.directory().machines()) {
@@ -131,75 +132,19 @@
   return up * 2 >= peers.size();
 }
 
-uint64_t Node::config_version() const {
-  return table_ == nullptr ? 0 : table_->version();
-}
-
 // ---- What the platform publishes.
 
-void Node::OnConfig(const std::string& document) {
-  ApplyConfig(document, "store");
-}
-
-void Node::ApplyConfig(const std::string& document, const std::string& source) {
-  routes::RouteTablePtr table;
-  try {
-    table = environment_.config_format.Parse(document);
-  } catch (const base::Error& e) {
-    log_.Write("config_refused", {{"source", source}, {"why", e.what()}});
-    return;
-  }
-  uint64_t have = config_version();
-  if (table->version() <= have) return;
-  table_ = table;
-  config_document_ = document;
+void Node::OnTable(const routes::RouteTablePtr& table) {
   dispatcher_.SetTable(table);
   traffic_.SetTable(table);
-  log_.Write("config", {{"version", table->version()},
-                        {"before", have},
-                        {"source", source},
-                        {"routes", table->routes().size()}});
-}
-
-void Node::OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
-                       uint64_t revision) {
-  if (view_.Replace(upstreams, revision, timers_.Now())) OnViewChanged();
 }
 
-void Node::OnUpstream(const fleet::Upstream& upstream) {
-  if (view_.Put(upstream)) OnViewChanged();
-}
-
-void Node::OnUpstreamGone(const std::string& id, uint64_t revision) {
-  if (view_.Remove(id, revision, timers_.Now())) OnViewChanged();
-}
-
-void Node::OnRevision(uint64_t revision) { view_.Advance(revision); }
-
-void Node::OnAvailable(bool available, const std::string& why) {
-  if (available) view_.OnStoreReturned(timers_.Now());
-  log_.Write(available ? "store_back" : "store_lost",
-             {{"why", why}, {"revision", view_.revision()}});
-}
-
-void Node::OnUnreadable(const std::string& key, const std::string& why) {
-  log_.Write("unreadable", {{"key", key}, {"why", why}});
-}
-
-void Node::OnViewChanged() {
+void Node::OnFleet() {
   UpdateDirectory();
-  gate_.SetUpstream(view_.AtAddress(settings_.upstream));
-  Millis sweep = view_.UntilSweep(timers_.Now());
-  if (sweep >= Millis(0)) {
-    sweep_.Start(sweep + Millis(1), [this] { SweepView(); });
-  }
-  log_.Write("fleet", {{"revision", view_.revision()},
-                       {"upstreams", view_.upstreams().size()}});
+  gate_.SetUpstream(documents_.view().AtAddress(settings_.upstream));
 }
 
-void Node::SweepView() {
-  if (view_.Sweep(timers_.Now())) OnViewChanged();
-}
+void Node::OnNews() { mesh_.BroadcastState(settings_.zone); }
 
 void Node::UpdateDirectory() {
   std::map<std::string, std::vector<zones::HostEntry>> by_service;
@@ -208,7 +153,7 @@
     // A service that no longer has upstreams gets an empty list.
     by_service[machine->entry().service];
   }
-  for (const fleet::Upstream* upstream : view_.Current()) {
+  for (const fleet::Upstream* upstream : documents_.view().Current()) {
     zones::HostEntry entry;
     entry.name = upstream->id;
     entry.service = upstream->service;
@@ -235,6 +180,7 @@
 
 void Node::OnLinkDown(peers::Link& link) {
   log_.Write("peer_lost", {{"peer", link.peer()}});
+  documents_.OnLinkDown(link);
   gate_.CancelLink(link.serial());
   dispatcher_.OnLinkDown(link.serial());
 }
@@ -256,9 +202,9 @@
   } else if (auto* state = std::get_if<peers::State>(&frame)) {
     OnState(link, *state);
   } else if (auto* request = std::get_if<peers::DocumentRequest>(&frame)) {
-    OnDocumentRequest(link, *request);
+    documents_.OnRequest(link, *request);
   } else if (auto* document = std::get_if<peers::Document>(&frame)) {
-    OnDocument(*document);
+    documents_.OnDocument(*document);
   } else {
     dispatcher_.OnFrame(std::move(frame));
   }
@@ -282,8 +228,7 @@
 
 peers::State Node::BriefReport() const {
   peers::State state;
-  state.config_version = config_version();
-  state.fleet_revision = view_.revision();
+  documents_.FillState(state);
   state.leaving = stopping_;
   state.service = settings_.service;
   state.load = gate_.Load();
@@ -300,59 +245,11 @@
 void Node::OnState(peers::Link& link, const peers::State& state) {
   dispatcher_.OnLoad(link.peer(), state.load);
   if (state.detailed) traffic_.OnReport(link.peer(), state);
-  using Kind = peers::DocumentKind;
-  RequestIfBehind(link, Kind::kConfig, newer_config_, state.config_version,
-                  config_version());
-  RequestIfBehind(link, Kind::kFleet, newer_fleet_, state.fleet_revision,
-                  view_.revision());
-}
-
-// A peer may be as outdated as this node, so the delay counts from when the
-// newest version known of any peer became newer than this node's. After
-// kBehindDelay, in which the store may still deliver it, a peer with a newer
-// version is asked for it. A node without any version asks immediately.
-void Node::RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
-                           NewerVersion& newer, uint64_t theirs,
-                           uint64_t ours) {
-  Millis now = timers_.Now();
-  if (newer.newest <= ours) newer.since = Millis(0);
-  newer.newest = std::max(newer.newest, theirs);
-  if (theirs <= ours) return;
-  if (newer.since == Millis(0)) newer.since = now;
-  if (ours != 0 && now - newer.since < kBehindDelay) return;
-  if (now - newer.requested_at < kRequestInterval) return;
-  newer.requested_at = now;
-  link.Send(peers::DocumentRequest{static_cast<uint8_t>(kind), ours});
-}
-
-void Node::OnDocumentRequest(peers::Link& link,
-                             const peers::DocumentRequest& request) {
-  peers::Document document;
-  document.kind = request.kind;
-  if (request.kind == static_cast<uint8_t>(peers::DocumentKind::kConfig)) {
-    if (table_ == nullptr || table_->version() <= request.known_version) return;
-    document.version = table_->version();
-    document.text = config_document_;
-  } else {
-    if (view_.revision() <= request.known_version) return;
-    document.version = view_.revision();
-    document.text = fleet::EncodeList(view_.List());
-  }
-  link.Send(document);
-}
-
-void Node::OnDocument(const peers::Document& document) {
-  if (document.kind == static_cast<uint8_t>(peers::DocumentKind::kConfig)) {
-    return ApplyConfig(document.text, "peer");
-  }
-  try {
-    OnUpstreams(fleet::DecodeList(document.text), document.version);
-  } catch (const base::Error& e) {
-    log_.Write("unreadable", {{"key", "peer's list"}, {"why", e.what()}});
-  }
+  documents_.OnState(link, state);
 }
 
 void Node::PlanAdmission() {
+  documents_.UpdateWatch();
   peers::State own = DetailedReport();
   dispatcher_.OnLoad(settings_.links, own.load);
   traffic_.OnReport(settings_.links, own);
@@ -434,7 +331,7 @@
     dispatcher_.SetService(settings.service);
     dispatcher_.retry_budget().Configure(settings.retry_budget);
     pool_.SetAddress(settings.upstream);
-    gate_.SetUpstream(view_.AtAddress(settings.upstream));
+    gate_.SetUpstream(documents_.view().AtAddress(settings.upstream));
     log_.Write("reloaded", {{"service", settings.service},
                             {"upstream", settings.upstream}});
   } catch (const base::Error& e) {
@@ -471,7 +368,7 @@
   bool overdue = elapsed >= settings_.stop_grace - kExitMargin;
   if ((elapsed >= kMinShutdownTime && idle) || overdue) {
     log_.Write("stopped", {{"whole", idle}, {"took_ms", elapsed.count()}});
-    environment_.feed.Stop();
+    documents_.Stop();
     mesh_.Close();
     pages_.Close();
     if (metrics_pages_ != nullptr) metrics_pages_->Close();
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -1,11 +1,7 @@
 // A sidecar node. Owns the components and connects them.
 //
-//   feed  -> view, route table -> dispatcher, gate, targets of the mesh
-//   peers -> loads, and newer documents
-//
-// The configuration and the list of upstreams come from the platform's store
-// or, while the store refuses this node, from any peer that has newer ones. A
-// document never replaces a newer one.
+//   documents -> view, route table -> dispatcher, gate, targets of the mesh
+//   peers     -> loads, demand, and news of documents
 //
 // Threading: everything runs on one event loop.
 #ifndef ALMONDWIND_SIDECAR_NODE_H_
@@ -18,11 +14,11 @@
 #include <string>
 #include <vector>
 
-#include "almondwind/fleet/view.h"
 #include "almondwind/loop/timers.h"
 #include "almondwind/peers/mesh.h"
 #include "almondwind/sidecar/caller_server.h"
 #include "almondwind/sidecar/dispatcher.h"
+#include "almondwind/sidecar/documents.h"
 #include "almondwind/sidecar/environment.h"
 #include "almondwind/sidecar/event_log.h"
 #include "almondwind/sidecar/gate_server.h"
@@ -40,7 +36,7 @@
   Feed& feed;
 };
 
-class Node : public FeedEvents, public peers::MeshEvents {
+class Node : public DocumentsEvents, public peers::MeshEvents {
  public:
   Node(boost::asio::io_context& io, loop::Timers& timers,
        const Settings& settings, Environment environment, uint64_t incarnation,
@@ -57,19 +53,14 @@
   void Reload();
 
   bool ready() const;
-  uint64_t config_version() const;
+  uint64_t config_version() const { return documents_.config_version(); }
   size_t peers_up() const { return mesh_.up_links().size(); }
   // Number of requests of this host in progress.
   size_t calls() const { return dispatcher_.in_progress(); }
 
-  void OnConfig(const std::string& document) override;
-  void OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
-                   uint64_t revision) override;
-  void OnUpstream(const fleet::Upstream& upstream) override;
-  void OnUpstreamGone(const std::string& id, uint64_t revision) override;
-  void OnRevision(uint64_t revision) override;
-  void OnAvailable(bool available, const std::string& why) override;
-  void OnUnreadable(const std::string& key, const std::string& why) override;
+  void OnTable(const routes::RouteTablePtr& table) override;
+  void OnFleet() override;
+  void OnNews() override;
 
   void OnLinkUp(peers::Link& link) override;
   void OnLinkDown(peers::Link& link) override;
@@ -81,24 +72,8 @@
   peers::State BriefReport() const;
 
  private:
-  // The newest version of a document that any peer has reported, for fetching
-  // it while this node's own is older.
-  struct NewerVersion {
-    uint64_t newest = 0;
-    base::Millis since{0};
-    base::Millis requested_at{0};
-  };
-
-  void ApplyConfig(const std::string& document, const std::string& source);
-  void OnViewChanged();
   void UpdateDirectory();
-  void SweepView();
   void OnState(peers::Link& link, const peers::State& state);
-  void RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
-                       NewerVersion& newer, uint64_t theirs, uint64_t ours);
-  void OnDocumentRequest(peers::Link& link,
-                         const peers::DocumentRequest& request);
-  void OnDocument(const peers::Document& document);
   http::Response ReadinessPage(const http::Request& request);
   // Pages for operators, at the metrics address: /status, /explain, and the
   // metrics at any other path.
@@ -119,9 +94,7 @@
   Environment environment_;
   EventLog& log_;
   const base::Millis started_;
-  fleet::View view_;
-  routes::RouteTablePtr table_;
-  std::string config_document_;
+  Documents documents_;
   Metrics metrics_;
   Traffic traffic_;
   GateServer gate_;
@@ -131,12 +104,9 @@
   CallerServer callers_;
   PageServer pages_;
   std::unique_ptr<PageServer> metrics_pages_;
-  loop::Timer sweep_;
   loop::Timer settings_poll_;
   loop::Timer stop_poll_;
   loop::Timer plan_timer_;
-  NewerVersion newer_config_;
-  NewerVersion newer_fleet_;
   bool stopping_ = false;
   base::Millis plan_logged_{0};
   // Time of the last detailed report, by other zone.
--- a/almondwind/sidecar/node_status.cc
+++ b/almondwind/sidecar/node_status.cc
@@ -23,32 +23,37 @@
                       {"wait_ms", room.wait_ms},
                       {"slot_ms", room.slot_ms}};
   }
-  return {{"node", settings_.node},
-          {"zone", settings_.zone},
-          {"service", settings_.service},
-          {"upstream", settings_.upstream},
-          {"ready", ready()},
-          {"leaving", stopping_},
-          {"config_version", config_version()},
-          {"fleet_revision", view_.revision()},
-          {"upstreams", view_.upstreams().size()},
-          {"peers", peers},
-          {"gate",
-           {{"in_progress", load.in_progress},
-            {"limit", load.limit},
-            {"service_ms", load.service_ms}}},
-          {"entries_in_progress", dispatcher_.in_progress()},
-          {"rooms", rooms}};
+  return {
+      {"node", settings_.node},
+      {"zone", settings_.zone},
+      {"service", settings_.service},
+      {"upstream", settings_.upstream},
+      {"ready", ready()},
+      {"leaving", stopping_},
+      {"config_version", config_version()},
+      {"fleet_revision", documents_.view().revision()},
+      {"upstreams", documents_.view().upstreams().size()},
+      {"store_watch",
+       base::NameOf(fleet::kWatchModeNames, documents_.watch_mode())},
+      {"confirmed_ms_ago", (timers_.Now() - documents_.confirmed_at()).count()},
+      {"peers", peers},
+      {"gate",
+       {{"in_progress", load.in_progress},
+        {"limit", load.limit},
+        {"service_ms", load.service_ms}}},
+      {"entries_in_progress", dispatcher_.in_progress()},
+      {"rooms", rooms}};
 }
 
 json Node::Explain(const std::string& host, const std::string& target) {
   json out = {{"config_version", config_version()}};
-  if (table_ == nullptr) {
+  const routes::RouteTablePtr& table = documents_.table();
+  if (table == nullptr) {
     out["refused"] = "no configuration is known yet";
     return out;
   }
   std::string path = target.substr(0, target.find('?'));
-  const routes::Route* route = table_->Match(host, path);
+  const routes::Route* route = table->Match(host, path);
   if (route == nullptr) {
     out["refused"] = "no route of this host has a prefix of this path";
     return out;
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -40,8 +40,10 @@
 class TestFeed : public Feed {
  public:
   void Start(FeedEvents& events) override { this->events = &events; }
+  void Watch(fleet::WatchMode mode, uint64_t) override { this->mode = mode; }
   void Stop() override { events = nullptr; }
   FeedEvents* events = nullptr;
+  fleet::WatchMode mode = fleet::WatchMode::kShort;
 };
 
 class TestSettings : public SettingsSource {
