Links to chosen peers in place of all; demand of zones heard in part is scaled

Cause: every node linked to every other one, 37,800 links on the large deployment, each with two state frames a second in both directions and, between zones, 43 KB of compressor at each end.

Change: a node keeps links to the machines that it may call, to the nodes of its own zone up to 64, and to two of each other zone (zones/peer_selection). It then hears only some nodes of other zones, so their reports are scaled by the zone's size over the number heard (graph/fleet_demand, which takes the classification of routes over from Traffic).

--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -5,6 +5,8 @@
 #include <set>
 #include <utility>
 
+#include "almondwind/zones/peer_selection.h"
+
 namespace almondwind::sidecar {
 
 using base::Millis;
@@ -148,7 +150,7 @@
 
 void Node::UpdateDirectory() {
   std::map<std::string, std::vector<zones::HostEntry>> by_service;
-  std::set<std::string> links;
+  std::map<std::string, std::vector<std::string>> nodes_by_zone;
   for (const auto& [name, machine] : dispatcher_.directory().machines()) {
     // A service that no longer has upstreams gets an empty list.
     by_service[machine->entry().service];
@@ -162,14 +164,35 @@
     entry.leaving = upstream->draining;
     std::string ip = upstream->address.substr(0, upstream->address.rfind(':'));
     entry.link = ip + ":" + std::to_string(settings_.peer_port);
-    links.insert(entry.link);
+    nodes_by_zone[entry.zone].push_back(entry.link);
     by_service[upstream->service].push_back(std::move(entry));
   }
   for (auto& [service, hosts] : by_service) {
     dispatcher_.directory().Update(service, std::move(hosts));
   }
-  mesh_.SetTargets({links.begin(), links.end()});
-  dispatcher_.retry_budget().SetNodes(links.size());
+  UpdatePeers(nodes_by_zone);
+}
+
+void Node::UpdatePeers(
+    const std::map<std::string, std::vector<std::string>>& nodes_by_zone) {
+  std::set<std::string> called;
+  for (const auto& [name, machine] : dispatcher_.directory().machines()) {
+    called.insert(machine->entry().link);
+  }
+  zones::PeerSelectionOptions options;
+  options.address = settings_.links;
+  options.zone = settings_.zone;
+  std::set<std::string> peers =
+      zones::SelectPeers(options, std::move(called), nodes_by_zone);
+  mesh_.SetTargets({peers.begin(), peers.end()});
+  std::map<std::string, size_t> sizes;
+  size_t nodes = 0;
+  for (const auto& [zone, addresses] : nodes_by_zone) {
+    sizes[zone] = addresses.size();
+    nodes += addresses.size();
+  }
+  traffic_.SetZoneSizes(std::move(sizes));
+  dispatcher_.retry_budget().SetNodes(nodes);
 }
 
 // ---- Peers.
@@ -244,7 +267,7 @@
 
 void Node::OnState(peers::Link& link, const peers::State& state) {
   dispatcher_.OnLoad(link.peer(), state.load);
-  if (state.detailed) traffic_.OnReport(link.peer(), state);
+  if (state.detailed) traffic_.OnReport(link.peer(), link.zone(), state);
   documents_.OnState(link, state);
 }
 
@@ -252,7 +275,7 @@
   documents_.UpdateWatch();
   peers::State own = DetailedReport();
   dispatcher_.OnLoad(settings_.links, own.load);
-  traffic_.OnReport(settings_.links, own);
+  traffic_.OnReport(settings_.links, settings_.zone, own);
   traffic_.Plan(dispatcher_.directory(), dispatcher_.eject_options());
   LogPlan(own);
   plan_timer_.Start(kPlanInterval, [this] { PlanAdmission(); });
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -73,6 +73,9 @@
 
  private:
   void UpdateDirectory();
+  // Chooses the peers to link to from the addresses of all nodes by zone.
+  void UpdatePeers(
+      const std::map<std::string, std::vector<std::string>>& nodes_by_zone);
   void OnState(peers::Link& link, const peers::State& state);
   http::Response ReadinessPage(const http::Request& request);
   // Pages for operators, at the metrics address: /status, /explain, and the
--- a/almondwind/sidecar/traffic.cc
+++ b/almondwind/sidecar/traffic.cc
@@ -14,7 +14,8 @@
       clock_(clock),
       tracker_(options.tracker),
       costs_(options.costs),
-      plan_(options.admission) {}
+      plan_(options.admission),
+      fleet_(options.fleet) {}
 
 void Traffic::OnRunStarted(uint64_t run, const std::string& route,
                            base::RequestClass cls, Millis deadline) {
@@ -33,25 +34,20 @@
   arrivals.orphans.Add(orphan ? 1 : 0, now, options_.kind_window);
 }
 
-Traffic::RouteKind Traffic::KindOf(const std::string& route) const {
-  auto it = kinds_.find(route);
-  return it == kinds_.end() ? RouteKind::kUnknown : it->second;
-}
-
 AdmissionDecision Traffic::Admit(const routes::Route& route, Millis deadline,
                                  Millis now) {
   AdmissionDecision decision;
   decision.cls = routes::ClassOf(route.priority);
   graph::ParentMatch match = tracker_.FindParent(route.name, deadline);
   CountArrival(route.name, match.orphan, now);
-  RouteKind kind = KindOf(route.name);
-  if (kind == RouteKind::kCalled && !match.orphan) {
+  graph::RouteKind kind = fleet_.KindOf(route.name);
+  if (kind == graph::RouteKind::kCalled && !match.orphan) {
     tracker_.CountCall(route.name, deadline, now);
     decision.inner = true;
     decision.cls = match.cls;
     return decision;
   }
-  if (kind == RouteKind::kClients && !plan_.Admit(route.name)) {
+  if (kind == graph::RouteKind::kClients && !plan_.Admit(route.name)) {
     decision.retry_after = options_.retry_after;
   }
   return decision;
@@ -74,7 +70,7 @@
                    const zones::EjectOptions& eject) {
   Millis now = clock_.Now();
   if (table_ == nullptr) return;
-  ApplyReports(now);
+  UpdateDemand(now);
   std::map<std::string, graph::ServiceCapacity> rooms;
   for (const auto& [name, machine] : directory.machines()) {
     if (machine->leaving() || !machine->Usable(now, eject)) continue;
@@ -92,43 +88,21 @@
   plan_.Plan(*table_, costs_, now);
 }
 
-void Traffic::OnReport(const std::string& node, const peers::State& state) {
+void Traffic::OnReport(const std::string& node, const std::string& zone,
+                       const peers::State& state) {
   Millis now = clock_.Now();
-  reports_[node] = {state.demand, now};
+  fleet_.Report(node, zone, state.demand, now);
   costs_.Report(node, state.service, state.costs, now);
 }
 
-void Traffic::ApplyReports(Millis now) {
-  struct Sum {
-    double seen = 0;
-    double orphans = 0;
-  };
-  std::map<std::string, Sum> sums;
-  for (auto it = reports_.begin(); it != reports_.end();) {
-    if (now - it->second.at > options_.admission.demand_ttl) {
-      it = reports_.erase(it);
-      continue;
-    }
-    for (const peers::RouteDemand& row : it->second.demand) {
-      sums[row.route].seen += row.seen;
-      sums[row.route].orphans += row.orphans;
-    }
-    ++it;
-  }
-  kinds_.clear();
-  for (const auto& [route, sum] : sums) {
-    if (sum.seen < options_.kind_samples) continue;
-    bool called = sum.orphans < options_.called_orphans * sum.seen;
-    kinds_[route] = called ? RouteKind::kCalled : RouteKind::kClients;
-  }
-  for (const auto& [node, report] : reports_) {
-    graph::AdmissionPlan::Demand demand;
-    for (const peers::RouteDemand& row : report.demand) {
-      if (KindOf(row.route) != RouteKind::kClients) continue;
-      demand.emplace_back(row.route, row.per_s);
-    }
-    plan_.SetDemand(node, demand, report.at);
+void Traffic::UpdateDemand(Millis now) {
+  fleet_.Update(now);
+  graph::AdmissionPlan::Demand demand;
+  for (const auto& [route, total] : fleet_.totals()) {
+    if (fleet_.KindOf(route) != graph::RouteKind::kClients) continue;
+    demand.emplace_back(route, total.per_s);
   }
+  plan_.SetDemand("fleet", demand, now);
 }
 
 void Traffic::FillReport(peers::State& state) {
@@ -150,18 +124,6 @@
   state.costs = tracker_.Costs(now);
 }
 
-std::string Traffic::KindName(const std::string& route) const {
-  switch (KindOf(route)) {
-    case RouteKind::kCalled:
-      return "called";
-    case RouteKind::kClients:
-      return "clients";
-    case RouteKind::kUnknown:
-      break;
-  }
-  return "unknown";
-}
-
 graph::Costs Traffic::CostsOf(const std::string& route,
                               const std::string& service) {
   if (table_ == nullptr) return {};
--- a/almondwind/sidecar/traffic.h
+++ b/almondwind/sidecar/traffic.h
@@ -14,6 +14,7 @@
 #include "almondwind/base/fading.h"
 #include "almondwind/graph/admission.h"
 #include "almondwind/graph/cost_table.h"
+#include "almondwind/graph/fleet_demand.h"
 #include "almondwind/graph/run_tracker.h"
 #include "almondwind/sidecar/dispatcher.h"
 #include "almondwind/sidecar/gate_server.h"
@@ -25,6 +26,7 @@
   graph::RunTrackerOptions tracker;
   graph::CostTableOptions costs;
   graph::AdmissionOptions admission;
+  graph::FleetDemandOptions fleet;
   // Averaging time of a route's request rate: long compared to the gaps between
   // requests, short compared to the seconds that a surge lasts.
   base::Millis demand_window{1000};
@@ -32,14 +34,6 @@
   // have made, see run_tracker.h) are counted, to tell routes that upstreams
   // call from routes that clients use.
   base::Millis kind_window{15'000};
-  // Maximum share of orphans among the requests of a called route. It is above
-  // zero because an aborted run may leave one or two calls behind. It is low
-  // because clients' requests with short deadlines can match a run by chance,
-  // and are then orphans only on hosts with little load.
-  double called_orphans = 0.04;
-  // Requests of a route, on all nodes, that are needed to classify it. Until
-  // then all are admitted.
-  double kind_samples = 25;
   // Retry delay given to callers whose requests the plan refuses.
   base::Millis retry_after{900};
 };
@@ -61,15 +55,22 @@
   // Updates the plan from the loads that the upstreams of `directory` report.
   void Plan(const zones::Directory& directory,
             const zones::EjectOptions& eject);
-  // Records a report of a peer or of this node itself.
-  void OnReport(const std::string& node, const peers::State& state);
+  // Records a report of a peer in `zone`, or of this node itself.
+  void OnReport(const std::string& node, const std::string& zone,
+                const peers::State& state);
+  void SetZoneSizes(std::map<std::string, size_t> sizes) {
+    fleet_.SetZoneSizes(std::move(sizes));
+  }
   // Fills in demand and costs in this node's report.
   void FillReport(peers::State& state);
 
   const graph::AdmissionPlan& plan() const { return plan_; }
   // Who sends a route's requests: "clients", "called" (by upstreams) or
   // "unknown".
-  std::string KindName(const std::string& route) const;
+  std::string KindName(const std::string& route) const {
+    return std::string(
+        base::NameOf(graph::kRouteKindNames, fleet_.KindOf(route)));
+  }
   // Slot time and requests that one request of `route` at `service` causes, by
   // service.
   graph::Costs CostsOf(const std::string& route, const std::string& service);
@@ -80,16 +81,9 @@
     base::DecayingCount seen;
     base::DecayingCount orphans;
   };
-  struct Report {
-    std::vector<peers::RouteDemand> demand;
-    base::Millis at{0};
-  };
-  enum class RouteKind : uint8_t { kUnknown, kCalled, kClients };
-
   void CountArrival(const std::string& route, bool orphan, base::Millis now);
-  // Classifies the routes and passes the demand of clients' routes to the plan.
-  void ApplyReports(base::Millis now);
-  RouteKind KindOf(const std::string& route) const;
+  // Passes the demand of clients' routes to the plan.
+  void UpdateDemand(base::Millis now);
 
   static constexpr size_t kMaxRoutes = 4096;  // further routes are not counted
 
@@ -100,8 +94,7 @@
   graph::CostTable costs_;
   graph::AdmissionPlan plan_;
   std::map<std::string, Arrivals> arrivals_;  // at this node, by route
-  std::map<std::string, Report> reports_;     // by node
-  std::map<std::string, RouteKind> kinds_;    // by route
+  graph::FleetDemand fleet_;
 };
 
 }  // namespace almondwind::sidecar
