HTTP readers: bound the framing that stays unparsed, and interim responses

Cause: the extension of a chunk and a trailer line are parsed only when they are complete, and nothing bounded them: a node held 16 MB after 0.8 s of one answer without end (faults_test, row "trailer"), and would have held more until the request's deadline. Interim responses (1xx) were read without a bound on their number.

Unparsed bytes are now bounded like a header, at requests and responses, and a message has at most 16 interim responses. The test framing_without_end_is_refused failed in five checks before the change.

--- a/almondwind/http/reader.cc
+++ b/almondwind/http/reader.cc
@@ -15,6 +15,8 @@
 // Limits the memory reserved for an announced Content-Length. A larger body
 // grows as its bytes arrive, so that the header alone cannot claim memory.
 constexpr uint64_t kMaxReserveBytes = 64u << 10;
+// A server sends one or two interim responses (1xx) before a final one.
+constexpr int kMaxInterimResponses = 16;
 
 std::string ToString(BeastView view) { return {view.data(), view.size()}; }
 
@@ -166,11 +168,12 @@
   error_code ec;
   complete_ = parser_->Parse(buffer_, ec);
   if (ec) return StateFromError(ec);
-  if (!complete_ && !parser_->header_done &&
-      buffer_.size() > options_.max_header_bytes) {
-    return ReadState::kHeaderTooLarge;
-  }
   if (complete_) return ReadState::kComplete;
+  // Only a head, the extension of a chunk or a trailer stays unparsed.
+  if (buffer_.size() > options_.max_header_bytes) {
+    return parser_->header_done ? ReadState::kMalformed
+                                : ReadState::kHeaderTooLarge;
+  }
   bool streamed =
       !in_body_ && parser_->BodyExceeds(options_.streaming_threshold_bytes);
   return streamed ? ReadState::kBodyFollows : ReadState::kPartial;
@@ -230,11 +233,18 @@
     complete_ = parser_->Parse(buffer_, ec);
     if (ec) return StateFromError(ec);
     if (!complete_) {
+      if (buffer_.size() > options_.max_header_bytes) {
+        return parser_->header_done ? ReadState::kMalformed
+                                    : ReadState::kHeaderTooLarge;
+      }
       bool streamed =
           !in_body_ && parser_->BodyExceeds(options_.streaming_threshold_bytes);
       return streamed ? ReadState::kBodyFollows : ReadState::kPartial;
     }
     if (!in_body_ && parser_->message.status / 100 == 1) {
+      if (++interim_responses_ > kMaxInterimResponses) {
+        return ReadState::kMalformed;
+      }
       parser_.reset();
       complete_ = false;
     }
@@ -254,6 +264,7 @@
 }
 
 Response ResponseReader::Take() {
+  interim_responses_ = 0;
   if (!complete_) {
     in_body_ = true;
     return parser_->TakeHead();
--- a/almondwind/http/reader.h
+++ b/almondwind/http/reader.h
@@ -21,7 +21,8 @@
 //   Use(reader.TakeBody());
 //   if (state == ReadState::kComplete) reader.EndBody();
 //
-// Bounds: ReaderOptions. Cost: header and body are copied once.
+// Bounds: ReaderOptions; the extension of a chunk and the trailers are bounded
+// like a header. Cost: header and body are copied once.
 #ifndef ALMONDWIND_HTTP_READER_H_
 #define ALMONDWIND_HTTP_READER_H_
 
@@ -99,7 +100,8 @@
 
   void Feed(std::string_view bytes) { buffer_.append(bytes); }
   // Parses the bytes fed so far. With `to_head`, the next message answers a
-  // HEAD request and has no body. Interim responses (1xx) are skipped.
+  // HEAD request and has no body. Interim responses (1xx) are skipped; too many
+  // of them before one message are kMalformed.
   ReadState Next(bool to_head);
   // As Next, after an orderly close of the connection, which ends the body of a
   // message without a length. Other unfinished messages are kMalformed.
@@ -125,6 +127,7 @@
   std::unique_ptr<Parser> parser_;
   bool complete_ = false;
   bool in_body_ = false;
+  int interim_responses_ = 0;  // before the message in progress
 };
 
 }  // namespace almondwind::http
--- a/almondwind/http/testing/reader_test.cc
+++ b/almondwind/http/testing/reader_test.cc
@@ -157,6 +157,30 @@
       (ReadRequests({long_chunks}, options).last == ReadState::kBodyTooLarge));
 }
 
+// A peer may go on sending one part of the framing. What a reader holds must
+// stay within the limit of a header.
+BOOST_AUTO_TEST_CASE(framing_without_end_is_refused) {
+  const std::string request =
+      "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string response =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::string pad(1000, 'x');
+  for (const std::string& framing :
+       {std::string("5;ext="), std::string("0\r\nTrailer: ")}) {
+    std::vector<std::string> asked = {request + framing};
+    std::vector<std::string> answered = {response + framing};
+    for (int i = 0; i < 40; ++i) {
+      asked.push_back(pad);
+      answered.push_back(pad);
+    }
+    BOOST_TEST((ReadRequests(asked).last == ReadState::kMalformed), framing);
+    BOOST_TEST((ReadResponses(answered).last == ReadState::kMalformed),
+               framing);
+  }
+  std::vector<std::string> interim(40, "HTTP/1.1 100 Continue\r\n\r\n");
+  BOOST_TEST((ReadResponses(interim).last == ReadState::kMalformed));
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_that_ends_early_is_not_complete) {
   struct Case {
     const char* name;
