Faults of peers, upstreams and callbacks that operators reported

- A response without an id on a connection in use again was given to the next caller (a_late_copy_is_not_the_next_callers_answer).
It is now taken only as the first response of a connection.
- A link that was silent for 1.8 s was closed, and its requests that must not repeat were answered 502 though their work went on (work_behind_a_silent_peer_is_not_given_up: 502 in place of 200).
The link now stays open for 8 s without new calls; requests that may repeat are tried elsewhere within the budget, all others wait for their answer.
- A callback that threw stopped all timers, or accepting, for good, and ended the process (loop_test, both cases).
The stream of the callback is closed, the error is logged, and the loop goes on.
- A peer's list with an address that cannot be parsed threw in the middle of an update (view_test).

The relay of the soak moves to loop/testing, where faults_test uses it too. The mutant of CONFIG follows its line into documents.cc.

--- a/almondwind/fleet/changes_format.cc
+++ b/almondwind/fleet/changes_format.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "almondwind/base/outcome.h"
+#include "almondwind/loop/endpoint.h"
 
 namespace almondwind::fleet {
 namespace {
@@ -53,6 +54,7 @@
       std::tie(u.id, u.service, u.address, u.zone, u.slots, u.draining, cold_ms,
                u.started_at, u.revision) = row;
       u.cold_left = base::Millis(cold_ms);
+      loop::ParseEndpoint(u.address);  // throws if malformed
       out.upstreams.push_back(std::move(u));
     }
     for (const RemovalRow& row : removals) {
--- a/almondwind/fleet/testing/view_test.cc
+++ b/almondwind/fleet/testing/view_test.cc
@@ -107,6 +107,9 @@
   BOOST_TEST(decoded.removals[0].revision == 6U);
   BOOST_TEST(decoded.recovery_left.count() == 700);
   BOOST_CHECK_THROW(DecodeChanges("nonsense"), base::Error);
+  // An address that cannot be dialed would throw in the middle of an update.
+  changes.upstreams[0].address = "nonsense";
+  BOOST_CHECK_THROW(DecodeChanges(EncodeChanges(changes)), base::Error);
 }
 
 BOOST_AUTO_TEST_CASE(changes_hold_what_a_peer_lacks) {
--- a/almondwind/loop/acceptor.cc
+++ b/almondwind/loop/acceptor.cc
@@ -33,8 +33,10 @@
       retry_timer_.Start(kAcceptRetryDelay, [this] { Accept(); });
       return;
     }
-    if (!ec) handler_(std::move(socket));
+    // Accepts the next one first, so that an exception of the handler does not
+    // end accepting.
     if (acceptor_.is_open()) Accept();
+    if (!ec) handler_(std::move(socket));
   });
 }
 
--- a/almondwind/loop/stream.cc
+++ b/almondwind/loop/stream.cc
@@ -111,7 +111,14 @@
   }
   if (ec == net::error::eof) return End(StreamEnd::kClosed);
   if (ec) return End(StreamEnd::kReset);
-  if (events_ != nullptr) events_->OnData({buffer.data(), received});
+  try {
+    if (events_ != nullptr) events_->OnData({buffer.data(), received});
+  } catch (...) {
+    // What the handler has done with the data is unknown, so the connection
+    // cannot go on. The exception is reported where the loop runs.
+    End(StreamEnd::kReset);
+    throw;
+  }
   WaitRead();
 }
 
--- a/platform/testing/soak/relay.cc
+++ b/almondwind/loop/testing/relay.cc
@@ -1,18 +1,13 @@
-#include "platform/testing/soak/relay.h"
+#include "almondwind/loop/testing/relay.h"
 
 #include <deque>
 #include <utility>
 
 #include "almondwind/loop/endpoint.h"
 
-namespace platform::soak {
+namespace almondwind::loop::testing {
 
-using almondwind::base::Millis;
-using almondwind::loop::Stream;
-using almondwind::loop::StreamEnd;
-using almondwind::loop::StreamEvents;
-using almondwind::loop::StreamPtr;
-using almondwind::loop::Timer;
+using base::Millis;
 
 // A relayed connection: one socket to the client and one to the server.
 class Relay::Pair {
@@ -21,9 +16,8 @@
       : relay_(relay), client_(*this, true), server_(*this, false) {
     client_.stream =
         Stream::Adopt(relay.timers_, std::move(socket), {}, client_);
-    server_.stream =
-        Stream::Dial(relay.io_, relay.timers_,
-                     almondwind::loop::ParseEndpoint(relay.to_), {}, server_);
+    server_.stream = Stream::Dial(relay.io_, relay.timers_,
+                                  ParseEndpoint(relay.to_), {}, server_);
   }
   ~Pair() {
     client_.stream->Close();
@@ -77,7 +71,7 @@
   Side server_;
 };
 
-Relay::Relay(boost::asio::io_context& io, almondwind::loop::Timers& timers,
+Relay::Relay(boost::asio::io_context& io, Timers& timers,
              const std::string& listen, const std::string& to)
     : io_(io),
       timers_(timers),
@@ -102,4 +96,4 @@
 
 void Relay::ResetAll() { pairs_.clear(); }
 
-}  // namespace platform::soak
+}  // namespace almondwind::loop::testing
--- a/platform/testing/soak/relay.h
+++ b/almondwind/loop/testing/relay.h
@@ -1,7 +1,7 @@
-// A TCP relay in front of one address on loopback, with which the soak delays,
-// drops, refuses and resets connections. Not thread-safe.
-#ifndef PLATFORM_TESTING_SOAK_RELAY_H_
-#define PLATFORM_TESTING_SOAK_RELAY_H_
+// A TCP relay in front of one address on loopback, with which tests delay,
+// drop, refuse and reset connections. Not thread-safe.
+#ifndef ALMONDWIND_LOOP_TESTING_RELAY_H_
+#define ALMONDWIND_LOOP_TESTING_RELAY_H_
 
 #include <boost/asio/io_context.hpp>
 #include <map>
@@ -11,7 +11,7 @@
 #include "almondwind/loop/acceptor.h"
 #include "almondwind/loop/stream.h"
 
-namespace platform::soak {
+namespace almondwind::loop::testing {
 
 enum class RelayMode : uint8_t {
   kPass,
@@ -22,27 +22,27 @@
 
 class Relay {
  public:
-  Relay(boost::asio::io_context& io, almondwind::loop::Timers& timers,
-        const std::string& listen, const std::string& to);
+  Relay(boost::asio::io_context& io, Timers& timers, const std::string& listen,
+        const std::string& to);
   ~Relay();
 
   // A change to kPass closes the connections that have lost bytes.
   void SetMode(RelayMode mode);
-  void SetDelay(almondwind::base::Millis delay) { delay_ = delay; }
+  void SetDelay(base::Millis delay) { delay_ = delay; }
   void ResetAll();
 
  private:
   class Pair;
 
   boost::asio::io_context& io_;
-  almondwind::loop::Timers& timers_;
+  Timers& timers_;
   const std::string to_;
   RelayMode mode_ = RelayMode::kPass;
-  almondwind::base::Millis delay_{0};
+  base::Millis delay_{0};
   std::map<Pair*, std::unique_ptr<Pair>> pairs_;
-  almondwind::loop::Acceptor acceptor_;
+  Acceptor acceptor_;
 };
 
-}  // namespace platform::soak
+}  // namespace almondwind::loop::testing
 
-#endif  // PLATFORM_TESTING_SOAK_RELAY_H_
+#endif  // ALMONDWIND_LOOP_TESTING_RELAY_H_
--- a/almondwind/loop/timers.cc
+++ b/almondwind/loop/timers.cc
@@ -45,6 +45,11 @@
 }
 
 void Timers::RunDue() {
+  // Also if a callback throws: the other timers must still fire.
+  struct ArmOnExit {
+    Timers& timers;
+    ~ArmOnExit() { timers.Arm(); }
+  } arm{*this};
   Millis now = Now();
   while (!queue_.empty() && queue_.begin()->due_ <= now) {
     Timer& timer = *queue_.begin();
@@ -53,7 +58,6 @@
     timer.callback_ = nullptr;
     callback();  // may destroy the timer
   }
-  Arm();
 }
 
 }  // namespace almondwind::loop
--- a/almondwind/loop/timers.h
+++ b/almondwind/loop/timers.h
@@ -2,7 +2,9 @@
 //
 // A Timers object arms a single operating-system timer for its earliest
 // deadline, so that an idle process rarely wakes. The resolution is one
-// millisecond. Callbacks run on the loop and may start and stop any timer.
+// millisecond. Callbacks run on the loop and may start and stop any timer. If
+// one throws, the exception leaves io_context::run(), and the others still run
+// after the next run().
 //
 //   Timer timer(timers);
 //   timer.Start(base::Millis(250), [this] { OnTimeout(); });
--- a/almondwind/peers/mesh.cc
+++ b/almondwind/peers/mesh.cc
@@ -48,6 +48,7 @@
 void Link::OnData(std::string_view data) {
   LinkPtr self(this);
   last_received_ = mesh_.timers_.Now();
+  if (silent_) mesh_.Resume(*this);
   receive_buffer_.append(data);
   try {
     ParseFrames();
@@ -127,7 +128,7 @@
 loop::StreamOptions Mesh::LinkStreamOptions() const {
   loop::StreamOptions options;
   options.dial_timeout = options_.dial_timeout;
-  options.tcp_user_timeout = options_.silence_timeout;
+  options.tcp_user_timeout = options_.abandon_timeout;
   return options;
 }
 
@@ -201,7 +202,17 @@
 void Mesh::OnUp(Link& link) {
   auto target = targets_.find(link.dialed_address_);
   if (target != targets_.end()) target->second.pending = nullptr;
+  // Links of an earlier process of the peer are dead.
+  std::vector<LinkPtr> outdated;
+  for (const auto& [serial, other] : by_serial_) {
+    if (other->peer() == link.peer() &&
+        other->incarnation() != link.incarnation()) {
+      outdated.emplace_back(other);
+    }
+  }
+  for (const LinkPtr& other : outdated) CloseLink(*other);
   up_by_address_[link.peer()].push_back(&link);
+  by_serial_[link.serial()] = &link;
   events_.OnLinkUp(link);
   link.Send(events_.Report(link.zone()));
 }
@@ -222,12 +233,24 @@
   }
   if (!link.up_) return;
   link.up_ = false;
-  std::vector<Link*>& list = up_by_address_[link.peer()];
-  list.erase(std::remove(list.begin(), list.end(), &link), list.end());
-  if (list.empty()) up_by_address_.erase(link.peer());
+  by_serial_.erase(link.serial());
+  ForgetUp(link);
   events_.OnLinkDown(link);
 }
 
+void Mesh::ForgetUp(Link& link) {
+  auto it = up_by_address_.find(link.peer());
+  if (it == up_by_address_.end()) return;
+  std::vector<Link*>& list = it->second;
+  list.erase(std::remove(list.begin(), list.end(), &link), list.end());
+  if (list.empty()) up_by_address_.erase(it);
+}
+
+Link* Mesh::FindSerial(uint64_t serial) const {
+  auto it = by_serial_.find(serial);
+  return it == by_serial_.end() ? nullptr : it->second;
+}
+
 Link* Mesh::Find(const std::string& address) const {
   auto it = up_by_address_.find(address);
   return it == up_by_address_.end() ? nullptr : it->second.back();
@@ -242,14 +265,14 @@
 }
 
 void Mesh::OnHeartbeat() {
-  CloseSilentLinks();
+  CheckSilence();
   BroadcastState();
   DialMissingTargets();
   heartbeat_timer_.Start(options_.heartbeat_interval,
                          [this] { OnHeartbeat(); });
 }
 
-void Mesh::CloseSilentLinks() {
+void Mesh::CheckSilence() {
   Millis now = timers_.Now();
   // If this process itself was paused, frames of its peers may still be unread.
   bool paused = now - last_heartbeat_ > options_.silence_timeout;
@@ -261,7 +284,29 @@
       silent.push_back(link);
     }
   }
-  for (const LinkPtr& link : silent) CloseLink(*link);
+  for (const LinkPtr& link : silent) {
+    if (!link->up_ || now - link->last_received_ > options_.abandon_timeout) {
+      CloseLink(*link);
+    } else if (!link->silent_) {
+      Suspend(*link);
+    }
+  }
+}
+
+void Mesh::Suspend(Link& link) {
+  link.silent_ = true;
+  ForgetUp(link);
+  auto target = targets_.find(link.peer());
+  if (target != targets_.end()) target->second.next_dial = timers_.Now();
+  events_.OnLinkSilent(link);
+}
+
+// A newer link to the peer stays the preferred one.
+void Mesh::Resume(Link& link) {
+  link.silent_ = false;
+  std::vector<Link*>& list = up_by_address_[link.peer()];
+  list.insert(list.begin(), &link);
+  events_.OnLinkUp(link);
 }
 
 void Mesh::BroadcastState() {
@@ -281,6 +326,7 @@
   for (const LinkPtr& link : all_links_) link->stream_->CloseAfterWrites();
   all_links_.clear();
   up_by_address_.clear();
+  by_serial_.clear();
   targets_.clear();
 }
 
--- a/almondwind/peers/mesh.h
+++ b/almondwind/peers/mesh.h
@@ -8,7 +8,11 @@
 //
 // Both sides send State frames every MeshOptions::heartbeat_interval, which
 // show that the link is alive. A link on which nothing arrives for
-// MeshOptions::silence_timeout is closed, and the peer is dialed again.
+// MeshOptions::silence_timeout is silent: it gets no new calls, and the peer is
+// dialed again. The peer may only be paused or cut off for a while, and still
+// deliver the answers of calls in progress, so the silent link stays open:
+// until the peer is heard again or has restarted, or for
+// MeshOptions::abandon_timeout.
 //
 //   Mesh mesh(io, timers, options, events);
 //   mesh.SetTargets({"10.1.0.8:8300"});
@@ -46,6 +50,8 @@
   base::Millis heartbeat_interval{500};
   // Allows for three heartbeats and a retransmission.
   base::Millis silence_timeout{1800};
+  // Longer than most requests may take.
+  base::Millis abandon_timeout{8000};
   base::Millis redial_delay{300};
   base::Millis dial_timeout{900};
   // How long the node with the larger address waits for the other one to dial.
@@ -62,6 +68,9 @@
  public:
   virtual ~MeshEvents() = default;
   virtual void OnLinkUp(Link& link) = 0;
+  // Nothing has arrived on `link` for a while. Its calls may still be answered;
+  // OnLinkUp or OnLinkDown follows.
+  virtual void OnLinkSilent(Link& link) = 0;
   // No more frames arrive on `link`; calls in flight on it are lost.
   virtual void OnLinkDown(Link& link) = 0;
   virtual void OnFrame(Link& link, Frame frame) = 0;
@@ -85,6 +94,7 @@
   const std::string& zone() const { return hello_.zone; }
   uint64_t incarnation() const { return hello_.incarnation; }
   bool up() const { return up_; }
+  bool silent() const { return silent_; }
 
   void OnConnected() override;
   void OnData(std::string_view data) override;
@@ -106,7 +116,8 @@
   // Set after the Hello frames, on links to other zones.
   std::unique_ptr<Compressor> compressor_;
   std::unique_ptr<Decompressor> decompressor_;
-  bool up_ = false;
+  bool up_ = false;  // Hello has arrived
+  bool silent_ = false;
   base::Millis last_received_{0};
 };
 using LinkPtr = boost::intrusive_ptr<Link>;
@@ -122,14 +133,16 @@
   // Sets the peers to keep links to. Links to other peers stay open while they
   // are alive.
   void SetTargets(const std::vector<std::string>& addresses);
-  // Returns the newest link to `address` that is up, or null.
+  // Returns the newest link to `address` that is up and not silent, or null.
   Link* Find(const std::string& address) const;
+  // Returns the link with this serial, which may be silent, or null.
+  Link* FindSerial(uint64_t serial) const;
   // Sends the state to all peers now, for example because it has changed.
   void BroadcastState();
   // Sends it to the peers in `zone` only.
   void BroadcastState(const std::string& zone);
   void Close();
-  // Returns all links that are up.
+  // Returns all links that are up and not silent.
   std::vector<Link*> up_links() const;
 
  private:
@@ -141,7 +154,10 @@
 
   void OnAccepted(boost::asio::ip::tcp::socket socket);
   void OnHeartbeat();
-  void CloseSilentLinks();
+  void CheckSilence();
+  void Suspend(Link& link);
+  void Resume(Link& link);
+  void ForgetUp(Link& link);
   void DialMissingTargets();
   void OnUp(Link& link);
   void CloseLink(Link& link);
@@ -157,7 +173,9 @@
   loop::Timer dial_timer_;
   std::map<std::string, Target> targets_;
   std::set<LinkPtr> all_links_;
-  std::map<std::string, std::vector<Link*>> up_by_address_;  // newest last
+  // Links that are up and not silent, newest last.
+  std::map<std::string, std::vector<Link*>> up_by_address_;
+  std::map<uint64_t, Link*> by_serial_;  // links that are up
   base::Millis last_heartbeat_{0};
   uint64_t next_serial_ = 1;
 };
--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -197,7 +197,8 @@
 void Dispatcher::CancelAttempt(EntryCall& call) {
   if (call.attempt == 0) return;
   attempts_.erase(call.attempt);
-  call.machine->OnAbandoned();
+  // The head of a streamed response has ended the call for its machine.
+  if (!call.response_started) call.machine->OnAbandoned();
   if (call.attempt_link == 0) {
     gate_.Cancel({0, call.attempt});
   } else {
@@ -342,17 +343,42 @@
     EntryCall& call = *it->second;
     attempts_.erase(call.attempt);
     call.attempt = 0;
-    call.machine->OnFailure(timers_.Now(), options_.eject, Jitter());
     if (call.response_started) {
       AbortResponse(call, std::string(base::ReasonName(Reason::kLinkLost)));
       continue;
     }
+    call.machine->OnFailure(timers_.Now(), options_.eject, Jitter());
     // The request may have reached the upstream; count it as an arrival.
     ++call.arrivals;
     OnUnknown(call, Reason::kLinkLost);
   }
 }
 
+void Dispatcher::OnLinkSilent(uint64_t serial) {
+  std::vector<uint64_t> waiting;
+  for (const auto& [id, call] : calls_) {
+    if (call->attempt == 0 || call->attempt_link != serial) continue;
+    if (call->route->idempotent && !call->response_started) {
+      waiting.push_back(id);
+    }
+  }
+  for (uint64_t id : waiting) {
+    auto it = calls_.find(id);
+    if (it == calls_.end()) continue;
+    EntryCall& call = *it->second;
+    ++call.arrivals;  // it may have reached the upstream
+    if (!ReserveRetry(call)) {
+      --call.arrivals;
+      continue;
+    }
+    call.machine->OnFailure(timers_.Now(), options_.eject, Jitter());
+    attempts_.erase(call.attempt);
+    SendToGate(call, peers::Cancel{call.attempt});
+    call.attempt = 0;
+    Try(call);
+  }
+}
+
 void Dispatcher::OnLoad(const std::string& link, const links::Load& load) {
   for (const auto& [name, machine] : directory_.machines()) {
     if (machine->entry().link == link)
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -158,6 +158,10 @@
 
   // Handles a frame from a gate: Answer, BodyPart or Credit.
   void OnFrame(peers::Frame frame);
+  // The peer of a link is silent and may be paused. Idempotent requests sent
+  // over it are tried elsewhere if the budget allows; all others wait for their
+  // answer until their deadline.
+  void OnLinkSilent(uint64_t serial);
   void OnLinkDown(uint64_t serial);
   // Records the load that the gate at `link` reports.
   void OnLoad(const std::string& link, const links::Load& load);
--- a/almondwind/sidecar/dispatcher_bodies.cc
+++ b/almondwind/sidecar/dispatcher_bodies.cc
@@ -28,8 +28,8 @@
 }
 
 void Dispatcher::SendToGate(const EntryCall& call, const peers::Frame& frame) {
-  peers::Link* link = mesh_->Find(call.machine->entry().link);
-  if (link != nullptr && link->serial() == call.attempt_link) link->Send(frame);
+  peers::Link* link = mesh_->FindSerial(call.attempt_link);
+  if (link != nullptr) link->Send(frame);
 }
 
 // ---- Request bodies.
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -31,6 +31,12 @@
 // Reserved at the end of the grace period for the process to exit.
 constexpr Millis kExitMargin{500};
 
+// Names come from clients and operators and may hold bytes that are not UTF-8,
+// which are replaced.
+std::string ToText(const nlohmann::json& page) {
+  return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
 peers::MeshOptions MeshOptionsFrom(const Settings& s, uint64_t incarnation,
                                    const Dialect& dialect) {
   peers::MeshOptions o;
@@ -201,6 +207,12 @@
   log_.Write("peer_up", {{"peer", link.peer()}, {"zone", link.zone()}});
 }
 
+void Node::OnLinkSilent(peers::Link& link) {
+  log_.Write("peer_silent", {{"peer", link.peer()}, {"zone", link.zone()}});
+  documents_.OnLinkDown(link);
+  dispatcher_.OnLinkSilent(link.serial());
+}
+
 void Node::OnLinkDown(peers::Link& link) {
   log_.Write("peer_lost", {{"peer", link.peer()}});
   documents_.OnLinkDown(link);
@@ -335,11 +347,10 @@
   response.reason = http::ReasonPhrase(response.status);
   response.headers.Add("Content-Type", "application/json");
   if (request.path() == "/status") {
-    response.body = Status().dump();
+    response.body = ToText(Status());
   } else {
-    response.body = Explain(http::QueryValue(request.target, "host"),
-                            http::QueryValue(request.target, "target"))
-                        .dump();
+    response.body = ToText(Explain(http::QueryValue(request.target, "host"),
+                                   http::QueryValue(request.target, "target")));
   }
   return response;
 }
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -63,6 +63,7 @@
   void OnNews() override;
 
   void OnLinkUp(peers::Link& link) override;
+  void OnLinkSilent(peers::Link& link) override;
   void OnLinkDown(peers::Link& link) override;
   void OnFrame(peers::Link& link, peers::Frame frame) override;
   peers::State Report(const std::string& zone) override;
--- a/almondwind/sidecar/node_status.cc
+++ b/almondwind/sidecar/node_status.cc
@@ -90,6 +90,7 @@
          {"leaving", machine->leaving()},
          {"usable", machine->Usable(now, dispatcher_.eject_options())},
          {"in_progress", machine->load().in_progress},
+         {"outstanding", machine->outstanding()},
          {"limit", machine->load().limit},
          {"quality", machine->quality()},
          {"heard_ms_ago", (now - machine->load_at()).count()}});
--- a/almondwind/sidecar/process.cc
+++ b/almondwind/sidecar/process.cc
@@ -2,6 +2,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <nlohmann/json.hpp>
 
 #include "almondwind/base/entropy.h"
 #include "almondwind/sidecar/event_log.h"
@@ -13,6 +14,19 @@
 // exits.
 constexpr base::Millis kLastWrites{50};
 
+// Runs the event loop. An exception ends only what its handler was doing: the
+// streams close its connection, and all other requests go on.
+void RunLoop(boost::asio::io_context& io, EventLog& log) {
+  for (;;) {
+    try {
+      io.run();
+      return;
+    } catch (const std::exception& e) {
+      log.Write("unexpected_error", {{"why", e.what()}});
+    }
+  }
+}
+
 }  // namespace
 
 int RunProcess(boost::asio::io_context& io, loop::Timers& timers,
@@ -43,7 +57,7 @@
   };
   wait();
   node.Start();
-  io.run();
+  RunLoop(io, log);
   return code;
 }
 
--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -101,9 +101,15 @@
       running_ = false;
       stream_->Write(response.answer);
       if (response.close) stream_->CloseAfterWrites();
+      endless_ = response.endless;
+      if (!endless_.empty()) WriteEndless();
     });
   }
 
+  void OnDrained() override {
+    if (!endless_.empty()) WriteEndless();
+  }
+
   void OnEnd(loop::StreamEnd) override {
     if (running_) ++upstream_.ended_while_running;
     ++upstream_.ended;
@@ -112,11 +118,19 @@
   }
 
  private:
+  // Writes as fast as the node reads, with a turn of the loop in between.
+  void WriteEndless() {
+    stream_->Write(endless_);
+    if (stream_->unwritten() > 0) return;  // OnDrained goes on
+    delay_.Start(Millis(0), [this] { WriteEndless(); });
+  }
+
   TestUpstream& upstream_;
   loop::StreamPtr stream_;
   http::RequestReader reader_;
   loop::Timer delay_;
   bool running_ = false;
+  std::string endless_;
 };
 
 TestUpstream::TestUpstream(boost::asio::io_context& io, loop::Timers& timers,
@@ -152,6 +166,8 @@
 TestCaller::~TestCaller() { stream_->Close(); }
 
 void TestCaller::OnData(std::string_view data) {
+  received_ += data.size();
+  if (received_ > keep_bytes) return;
   reader_.Feed(data);
   while (reader_.Next(false) == http::ReadState::kComplete) {
     answers.push_back(reader_.Take());
@@ -174,7 +190,8 @@
 std::string Ip(int i) { return "127.0.0." + std::to_string(i + 1); }
 }  // namespace
 
-World::World(int count, int first_port, int zones) : log(NoLogLines(), timers) {
+World::World(int count, int first_port, int zones, bool relayed)
+    : log(NoLogLines(), timers) {
   for (int i = 0; i < count; ++i) {
     int base = first_port + 10 * i;
     upstreams.push_back(std::make_unique<TestUpstream>(
@@ -195,6 +212,12 @@
     s.metrics = "127.0.0.1:" + std::to_string(base + 3);
     s.peer_port = static_cast<uint16_t>(first_port + 9);
     s.links = Ip(i) + ":" + std::to_string(s.peer_port);
+    if (relayed) {
+      s.bind_links = "127.0.1." + std::to_string(i + 1) + ":" +
+                     std::to_string(s.peer_port);
+      relays.push_back(std::make_unique<loop::testing::Relay>(
+          io, timers, s.links, s.bind_links));
+    }
     s.max_descriptors = 256;
     s.stop_grace = Millis(6000);
     feeds.push_back(std::make_unique<TestFeed>());
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -13,6 +13,7 @@
 
 #include "almondwind/http/reader.h"
 #include "almondwind/loop/acceptor.h"
+#include "almondwind/loop/testing/relay.h"
 #include "almondwind/sidecar/node.h"
 
 namespace almondwind::sidecar::testing {
@@ -58,6 +59,7 @@
   std::string answer;  // raw bytes; {id} is replaced by the request's id
   bool close = false;  // close the connection after the answer
   int64_t delay_ms = 0;
+  std::string endless = {};  // repeated after the answer until the node closes
 };
 
 // An upstream that follows `script` in order (the last entry repeats) and
@@ -106,17 +108,20 @@
 
   std::vector<http::Response> answers;
   bool ended = false;
+  size_t keep_bytes = SIZE_MAX;  // bytes after these are dropped
 
  private:
   loop::StreamPtr stream_;
   http::ResponseReader reader_;
+  size_t received_ = 0;
 };
 
 // Several nodes, each with an upstream of the same service.
 class World {
  public:
-  // Uses ports from `first_port` on. Node i is in zone "z<i % zones>".
-  World(int nodes, int first_port, int zones = 1);
+  // Uses ports from `first_port` on. Node i is in zone "z<i % zones>". With
+  // `relayed`, the links to node i pass relays[i].
+  World(int nodes, int first_port, int zones = 1, bool relayed = false);
   ~World();
 
   // Runs the event loop until `done` returns true, at most for `limit`. Returns
@@ -139,6 +144,7 @@
   std::vector<std::unique_ptr<TestFeed>> feeds;
   std::vector<std::unique_ptr<TestSettings>> settings;
   std::vector<std::unique_ptr<TestUpstream>> upstreams;
+  std::vector<std::unique_ptr<loop::testing::Relay>> relays;
   std::vector<std::unique_ptr<Node>> nodes;
 };
 
--- a/almondwind/sidecar/upstream_pool.cc
+++ b/almondwind/sidecar/upstream_pool.cc
@@ -38,6 +38,7 @@
   void Send(uint64_t exchange, const http::Request& request,
             const std::string& request_id) {
     exchange_ = exchange;
+    ++exchanges_;
     request_id_ = request_id;
     head_request_ = request.method == "HEAD";
     busy_ = true;
@@ -112,10 +113,17 @@
         stale_response_seen_ = true;  // late response to an earlier request
         continue;
       }
+      if (MayBeStale(metadata)) return Finish(EndKind::kClosed, {}, {});
       return Finish(EndKind::kAnswer, std::move(response), metadata);
     }
   }
 
+  // Whether a response without an id may belong to an earlier request.
+  bool MayBeStale(const ResponseMetadata& metadata) const {
+    return !metadata.request_id && !request_id_.empty() &&
+           (exchanges_ > 1 || stale_response_seen_);
+  }
+
   // If the connection ends later, ReadBody handles it.
   void BeginStreamedResponse(bool ended) {
     http::Response response = reader_.Take();
@@ -123,7 +131,8 @@
     // For a late response to an earlier request, its body would have to be read
     // before this request's response; the exchange ends instead.
     bool stale = metadata.request_id && *metadata.request_id != request_id_;
-    if (stale || ended) return Finish(EndKind::kClosed, {}, {});
+    if (stale || MayBeStale(metadata) || ended)
+      return Finish(EndKind::kClosed, {}, {});
     keep_alive_ = response.keep_alive;
     if (metadata.idle_limit) SetIdleLimit(*metadata.idle_limit);
     stream_->PauseReading();
@@ -179,6 +188,7 @@
   loop::StreamPtr stream_;
   http::ResponseReader reader_;
   uint64_t exchange_ = 0;
+  int exchanges_ = 0;  // including the one in progress
   std::string request_id_;
   http::BodyRest rest_;      // of the request
   bool keep_alive_ = false;  // from the head of a streamed response
--- a/almondwind/sidecar/upstream_pool.h
+++ b/almondwind/sidecar/upstream_pool.h
@@ -11,7 +11,15 @@
 // while the request is being sent, the outcome is unknown and the request
 // cannot be retried.
 //
-// A late response to an earlier request is recognized by its id and skipped.
+// A late response to an earlier request is recognized by its id and skipped. A
+// response without an id is accepted only as the first one of a connection,
+// where no earlier request can have caused it.
+//
+// An upstream in trouble may send bytes without end. They are bounded in every
+// part of a response: the head by UpstreamPoolOptions::header_bytes, interim
+// responses by their number (http/reader.h), a body by the credit of its reader
+// and by answer_bytes, and bytes after a response end the connection. The
+// caller of the pool bounds the time.
 //
 // Bounds: UpstreamPoolOptions::connections, beyond which an exchange ends as
 // unreachable. A response above UpstreamPoolOptions::answer_bytes ends as too
--- a/tools/mutants.sh
+++ b/tools/mutants.sh
@@ -99,6 +99,6 @@
   's/dialect_\.RemoveSystemFields\(out\.headers\);//'
 soak_mutant REFUSED almondwind/sidecar/gate_server.cc \
   's/if \(kind == EndKind::kClosed\) return Unknown/if (kind == EndKind::kClosed) return NotRun/'
-soak_mutant CONFIG almondwind/sidecar/node.cc \
-  's/if \(table->version\(\) <= have\) return;/if (have != 0) return;/'
+soak_mutant CONFIG almondwind/sidecar/documents.cc \
+  's/if \(table->version\(\) <= have\) return false;/if (have != 0) return false;/'
 exit $code
