--- a/almondwind/fleet/reader_election.h
+++ b/almondwind/fleet/reader_election.h
@@ -76,8 +76,8 @@
     bool can_read = true;
   };
 
-  // Number of peers before this node in the order of the hash: of those that
-  // can read the store, or of all.
+  // Returns the number of peers before this node in the order of the hash, of
+  // those that can read the store or of all.
   size_t Rank(bool readable_only) const;
 
   const ElectionOptions options_;
--- a/almondwind/sidecar/documents.cc
+++ b/almondwind/sidecar/documents.cc
@@ -39,8 +39,8 @@
                 {"revision", complete_revision_},
                 {"confirmed_ms_ago",
                  (timers_.Now() - election_.confirmed_at()).count()}});
-    // Whether a node that does not read could is unknown; it is asked again
-    // when its turn comes.
+    // A node that does not read the store does not know whether it could. Peers
+    // may count on it until it has tried.
     if (mode == WatchMode::kNone) election_.SetCanRead(true);
   }
   mode_ = mode;
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -82,12 +82,12 @@
  public:
   virtual ~Feed() = default;
   // Delivers the configuration and the complete list of upstreams once, then
-  // their changes as Watch has it.
+  // their changes, by short watches until Watch sets another mode.
   virtual void Start(FeedEvents& events) = 0;
-  // Changes how changes are followed, or goes on without any change of that.
-  // The caller knows everything up to `revision`, also without this feed; above
-  // 0, a list that is still outstanding is not needed unless `mode` follows the
-  // store.
+  // Sets how changes are followed from now on. `revision` is the store's
+  // revision up to which the caller is complete, by this feed or by other
+  // sources. If it is above 0 and `mode` is kNone, a list that is still being
+  // read is abandoned.
   virtual void Watch(fleet::WatchMode mode, uint64_t revision) = 0;
   virtual void Stop() = 0;
 };
