Test of a streamed answer: the ways that counted its call twice

The count fell twice when the caller left or the request's time was over. The test now has all three ways: 0 in place of 1 on the old code, 1 on the new one. The code is unchanged.

--- a/almondwind/sidecar/testing/faults_test.cc
+++ b/almondwind/sidecar/testing/faults_test.cc
@@ -193,23 +193,35 @@
   BOOST_TEST(seen(1) + seen(2) == 2U);
 }
 
-// A streamed answer that breaks off ends its call once. Counted twice, the
-// upstream would look idle and attract calls.
+// A streamed answer ends its call once, whether its upstream breaks it off, its
+// caller leaves, or its time is over. Counted twice, the upstream would look
+// idle and attract calls.
 BOOST_AUTO_TEST_CASE(a_broken_stream_ends_its_call_once) {
-  Cluster world(1, 23560, "1 s 4000 safe 1");
-  std::string part =
-      "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n"
-      "Content-Length: 900000\r\n\r\n" +
-      std::string(300'000, 'x');
-  world.upstreams[0]->script = {{Sealed("Id: {id}\r\n", "ok"), false, 1500},
-                                {part, true, 0}};
-  auto waiting = world.Call(0);
-  waiting->Send(Get("a"));
-  BOOST_REQUIRE(
-      world.Until([&] { return world.upstreams[0]->seen.size() == 1; }));
-  auto broken = world.Ask(Get("b"));
+  Cluster world(1, 23560, "1 s 1000 safe 1");
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\nContent-Length: "
+      "900000\r\n\r\n";
+  const std::string part = head + std::string(300'000, 'x');
+  world.upstreams[0]->script = {{part, true, 0},
+                                {part, false, 0},
+                                {part, false, 0},
+                                {Sealed("Id: {id}\r\n", "ok"), false, 900}};
+  auto broken = world.Ask(Get("broken"));
   BOOST_TEST(broken->ended);
   BOOST_TEST(broken->answers.empty());
+  auto left = world.Call(0);
+  left->Send(Get("left"));
+  BOOST_REQUIRE(
+      world.Until([&] { return world.upstreams[0]->seen.size() == 2; }));
+  auto overdue = world.Call(0);
+  overdue->Send(Get("overdue"));
+  world.Run(Millis(600));
+  auto waiting = world.Call(0);
+  waiting->Send(Get("waiting"));
+  BOOST_REQUIRE(
+      world.Until([&] { return world.upstreams[0]->seen.size() == 4; }));
+  left->Close();
+  BOOST_TEST(world.Until([&] { return overdue->ended; }));
   nlohmann::json upstream =
       world.Explain(23563).at("parts").at(0).at("upstreams").at(0);
   BOOST_TEST(upstream.at("outstanding").get<int>() == 1);
