Log what a node believes of each upstream, and when its gate closes

On call, a request that reached a departed upstream could not be explained: the line 'fleet' has a revision and a count only, and nothing said when a gate closed or for how long a vanished entry was still used. The hypotheses of the incident could not be told apart.

New lines: upstream_state (state, revision, source, time until removal) at each change, gate_closed and gate_opened, and run_after_close for a request that starts from the queue of a closed gate. No change of logic.

--- a/almondwind/fleet/view.h
+++ b/almondwind/fleet/view.h
@@ -111,6 +111,11 @@
   // the most recently started one. The entries of its predecessors remain in
   // the store for some heartbeats.
   std::vector<const Upstream*> Current() const;
+  // Returns whether the upstream's entry was removed from the store and is
+  // still kept.
+  bool removal_pending(const std::string& id) const {
+    return pending_removals_.count(id) != 0;
+  }
   // Returns the upstreams whose removal is not pending.
   std::vector<Upstream> List() const;
   // Returns what a peer whose view is complete up to `revision` lacks.
--- a/almondwind/sidecar/documents.cc
+++ b/almondwind/sidecar/documents.cc
@@ -55,17 +55,19 @@
 
 void Documents::OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
                             uint64_t revision) {
-  if (view_.Replace(upstreams, revision, timers_.Now())) OnViewChanged();
+  if (view_.Replace(upstreams, revision, timers_.Now())) {
+    OnViewChanged("store");
+  }
 }
 
 void Documents::OnUpstream(const fleet::Upstream& upstream) {
   news_ = true;
-  if (view_.Put(upstream)) OnViewChanged();
+  if (view_.Put(upstream)) OnViewChanged("store");
 }
 
 void Documents::OnUpstreamGone(const std::string& id, uint64_t revision) {
   news_ = true;
-  if (view_.Remove(id, revision, timers_.Now())) OnViewChanged();
+  if (view_.Remove(id, revision, timers_.Now())) OnViewChanged("store");
 }
 
 void Documents::OnRevision(uint64_t revision) {
@@ -114,8 +116,9 @@
   return true;
 }
 
-void Documents::OnViewChanged() {
+void Documents::OnViewChanged(const char* source) {
   events_.OnFleet();
+  LogUpstreamStates(source);
   Millis sweep = view_.UntilSweep(timers_.Now());
   if (sweep >= Millis(0)) {
     sweep_.Start(sweep + Millis(1), [this] { SweepView(); });
@@ -124,8 +127,50 @@
                        {"upstreams", view_.upstreams().size()}});
 }
 
+Documents::UpstreamState Documents::StateOf(
+    const fleet::Upstream& upstream) const {
+  if (view_.removal_pending(upstream.id)) return UpstreamState::kVanished;
+  return upstream.draining ? UpstreamState::kDraining : UpstreamState::kReady;
+}
+
+// Logs the upstreams whose state has changed. The first list is not logged by
+// upstream: a node that has just started has no earlier belief.
+void Documents::LogUpstreamStates(const char* source) {
+  std::map<std::string, UpstreamState> states;
+  for (const auto& [id, upstream] : view_.upstreams()) {
+    states[id] = StateOf(upstream);
+  }
+  if (!logged_states_.empty()) {
+    Millis now = timers_.Now();
+    for (const auto& [id, state] : states) {
+      UpstreamState before = logged_states_[id];
+      if (state == before) continue;
+      const fleet::Upstream& upstream = view_.upstreams().at(id);
+      log_.Write("upstream_state",
+                 {{"upstream", id},
+                  {"service", upstream.service},
+                  {"state", base::NameOf(kUpstreamStateNames, state)},
+                  {"before", base::NameOf(kUpstreamStateNames, before)},
+                  {"revision", upstream.revision},
+                  {"source", source},
+                  {"next_removal_in_ms", view_.UntilSweep(now).count()}});
+    }
+    for (const auto& [id, before] : logged_states_) {
+      if (states.count(id) != 0 || before == UpstreamState::kUnknown) continue;
+      log_.Write("upstream_state",
+                 {{"upstream", id},
+                  {"state",
+                   base::NameOf(kUpstreamStateNames, UpstreamState::kUnknown)},
+                  {"before", base::NameOf(kUpstreamStateNames, before)},
+                  {"revision", view_.revision()},
+                  {"source", source}});
+    }
+  }
+  logged_states_ = std::move(states);
+}
+
 void Documents::SweepView() {
-  if (view_.Sweep(timers_.Now())) OnViewChanged();
+  if (view_.Sweep(timers_.Now())) OnViewChanged("sweep");
 }
 
 // ---- Peers.
@@ -205,7 +250,7 @@
   }
   try {
     fleet::Changes changes = fleet::DecodeChanges(document.text);
-    if (view_.Apply(changes, timers_.Now())) OnViewChanged();
+    if (view_.Apply(changes, timers_.Now())) OnViewChanged("peer");
   } catch (const base::Error& e) {
     log_.Write("unreadable", {{"key", "peer's changes"}, {"why", e.what()}});
   }
--- a/almondwind/sidecar/documents.h
+++ b/almondwind/sidecar/documents.h
@@ -16,6 +16,7 @@
 #ifndef ALMONDWIND_SIDECAR_DOCUMENTS_H_
 #define ALMONDWIND_SIDECAR_DOCUMENTS_H_
 
+#include <map>
 #include <string>
 #include <vector>
 
@@ -90,8 +91,21 @@
     base::Millis requested_at{0};
   };
 
+  // State of an upstream as this node believes it.
+  enum class UpstreamState : uint8_t {
+    kUnknown,  // not listed
+    kReady,
+    kDraining,
+    kVanished  // removed without having been marked as draining; still used
+  };
+  static constexpr base::Names<4> kUpstreamStateNames = {
+      "unknown", "ready", "draining", "vanished"};
+
   bool ApplyConfig(const std::string& document, const std::string& source);
-  void OnViewChanged();
+  // `source` of the change, for the log: "store", "peer" or "sweep".
+  void OnViewChanged(const char* source);
+  void LogUpstreamStates(const char* source);
+  UpstreamState StateOf(const fleet::Upstream& upstream) const;
   void SweepView();
   void RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
                        NewerVersion& newer, uint64_t theirs, uint64_t ours);
@@ -103,6 +117,7 @@
   EventLog& log_;
   DocumentsEvents& events_;
   fleet::View view_;
+  std::map<std::string, UpstreamState> logged_states_;  // by upstream id
   fleet::ReaderElection election_;
   fleet::WatchMode mode_ = fleet::WatchMode::kShort;
   routes::RouteTablePtr table_;
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -86,7 +86,7 @@
 void GateServer::SetUpstream(const fleet::Upstream* upstream) {
   if (upstream == nullptr) {
     // It was listed before and is no longer: it has been shut down.
-    if (started_at_ != 0) gate_->Leave();
+    if (started_at_ != 0) CloseGate("not_listed");
     return;
   }
   bool restarted = upstream->started_at != started_at_;
@@ -97,18 +97,37 @@
                                              options_.gate, *this);
   }
   if (upstream->draining) {
-    gate_->Leave();
+    CloseGate("draining");
   } else if (!stopping_ && (restarted || gate_->leaving())) {
-    gate_->Join(timers_.Now(), upstream->cold_left > Millis(0));
+    OpenGate(upstream->cold_left > Millis(0));
   }
   started_at_ = upstream->started_at;
 }
 
 void GateServer::Leave() {
   stopping_ = true;
+  CloseGate("stopping");
+}
+
+void GateServer::CloseGate(const char* why) {
+  if (!gate_->leaving()) {
+    closed_at_ = timers_.Now();
+    log_.Write("gate_closed", {{"why", why},
+                               {"queued", gate_->queued()},
+                               {"in_progress", gate_->in_progress()},
+                               {"upstream_started_at", started_at_}});
+  }
   gate_->Leave();
 }
 
+void GateServer::OpenGate(bool cold) {
+  if (gate_->leaving()) {
+    log_.Write("gate_opened",
+               {{"closed_ms", (timers_.Now() - closed_at_).count()}});
+  }
+  gate_->Join(timers_.Now(), cold);
+}
+
 void GateServer::Offer(const CallKey& key, peers::Call call, Reply reply) {
   Millis now = timers_.Now();
   machines::RequestPtr request(new machines::Request);
@@ -149,6 +168,13 @@
   observer_.OnRunStarted(id, gate_run.call.route, run.request->cls, now + left);
   http::Request request = UpstreamRequest(gate_run, left);
   std::string request_id = dialect_.ReadCaller(request.headers).request_id;
+  if (gate_->leaving()) {
+    log_.Write("run_after_close",
+               {{"id", request_id},
+                {"upstream", gate_run.call.upstream},
+                {"closed_ms_ago", (now - closed_at_).count()},
+                {"waited_ms", (now - run.enqueued).count()}});
+  }
   pool_->Send(id, request, request_id, gate_run.call.idempotent);
   auto it = runs_.find(id);
   if (it == runs_.end() || !it->second.call.rest.follows) return;
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -142,6 +142,10 @@
   void Tick();
   http::Request UpstreamRequest(const GateRun& run, base::Millis left) const;
   void LogEnd(const GateRun& run, const peers::Answer& answer) const;
+  // Stops accepting new requests because the upstream leaves. `why`, for the
+  // log: "draining", "not_listed" or "stopping".
+  void CloseGate(const char* why);
+  void OpenGate(bool cold);
 
   loop::Timers& timers_;
   const Dialect& dialect_;
@@ -154,6 +158,7 @@
   int slots_ = 0;
   int64_t started_at_ = 0;  // start time of the current upstream process
   bool stopping_ = false;
+  base::Millis closed_at_{0};  // while the gate is closed
   std::unordered_map<uint64_t, GateRun> runs_;
   std::map<CallKey, uint64_t> by_key_;
   uint64_t next_run_ = 1;
