Documents: carry out removals that were delayed

Cause: View::OnStoreReturned delays pending removals, but the timer stays at the old time. It fires, finds nothing due, and is not started again; the entry stays until the view changes for another reason. Class: a timer whose deadline moves and that is not started again. The others of this class were read (gate queue, stop, settings, plan, link heartbeats): each starts itself again.

Change: SweepView starts the timer again if nothing was due.

Test: a_removal_that_was_delayed_is_carried_out failed before, passes now. The other two cases of 'departures' still fail and stay known red.

--- a/almondwind/sidecar/documents.cc
+++ b/almondwind/sidecar/documents.cc
@@ -119,10 +119,7 @@
 void Documents::OnViewChanged(const char* source) {
   events_.OnFleet();
   LogUpstreamStates(source);
-  Millis sweep = view_.UntilSweep(timers_.Now());
-  if (sweep >= Millis(0)) {
-    sweep_.Start(sweep + Millis(1), [this] { SweepView(); });
-  }
+  ScheduleSweep();
   log_.Write("fleet", {{"revision", view_.revision()},
                        {"upstreams", view_.upstreams().size()}});
 }
@@ -169,8 +166,15 @@
   logged_states_ = std::move(states);
 }
 
+void Documents::ScheduleSweep() {
+  Millis sweep = view_.UntilSweep(timers_.Now());
+  if (sweep < Millis(0)) return;
+  sweep_.Start(sweep + Millis(1), [this] { SweepView(); });
+}
+
 void Documents::SweepView() {
-  if (view_.Sweep(timers_.Now())) OnViewChanged("sweep");
+  if (view_.Sweep(timers_.Now())) return OnViewChanged("sweep");
+  ScheduleSweep();  // the removals that were due have been delayed
 }
 
 // ---- Peers.
--- a/almondwind/sidecar/documents.h
+++ b/almondwind/sidecar/documents.h
@@ -106,6 +106,7 @@
   void OnViewChanged(const char* source);
   void LogUpstreamStates(const char* source);
   UpstreamState StateOf(const fleet::Upstream& upstream) const;
+  void ScheduleSweep();
   void SweepView();
   void RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
                        NewerVersion& newer, uint64_t theirs, uint64_t ours);
--- a/almondwind/sidecar/testing/departures_test.cc
+++ b/almondwind/sidecar/testing/departures_test.cc
@@ -91,6 +91,21 @@
   BOOST_TEST(!zone.UpstreamTwoIsUsed());
 }
 
+// Failure: the removal of an entry was delayed while it was pending, and then
+// never carried out: its timer fired at the old time and was not started again.
+BOOST_AUTO_TEST_CASE(a_removal_that_was_delayed_is_carried_out) {
+  Zone zone(25120);
+  zone.Run(Millis(2500));
+  for (size_t i : {0, 1, 2}) {
+    zone.feed(i).OnAvailable(false, "connection lost");
+    zone.feed(i).OnUpstreamGone("u2", 3);
+    zone.feed(i).OnAvailable(true, "watch answered");
+    zone.feed(i).OnRevision(3);
+  }
+  zone.Run(Millis(2400));
+  BOOST_TEST(!zone.UpstreamTwoIsUsed());
+}
+
 // Failure of a fix of the two above: entries that expired in an outage of the
 // store are restored within two seconds of its return; a node that gave them up
 // earlier would take running upstreams out of use.
