Keep vanished upstreams longer only after an outage of the store itself

What callers saw: requests, and their calls, went to upstreams whose removal the store had acknowledged more than 2 s before (DRAIN).

Cause: entries of running upstreams expire while the store is away, so vanished ones are kept for 2.2 s after its return. A node took its own trouble for such an outage, told its peers so, and dated the return from the first answer that it got itself. A watch that waits is answered with the next change: often the very departure. Class: a local observation, or the time of noticing, taken for what happened in the fleet.

Change: fleet::OutageDetector recognizes an outage from the times at which the store answered any node, which all reports carry already; it begins when none was answered for 1.5 s and ends with the first answer to any of them. Every node comes to that by itself, so Changes no longer carry a delay (protocol 5).

--- a/almondwind/fleet/changes_format.cc
+++ b/almondwind/fleet/changes_format.cc
@@ -15,8 +15,8 @@
                        bool, int64_t, int64_t, uint64_t>;
 using RemovalRow = std::tuple<std::string, uint64_t>;
 // The fields of Changes in wire order.
-using Wire = std::tuple<uint64_t, uint64_t, std::vector<Row>,
-                        std::vector<RemovalRow>, int64_t>;
+using Wire =
+    std::tuple<uint64_t, uint64_t, std::vector<Row>, std::vector<RemovalRow>>;
 
 }  // namespace
 
@@ -33,9 +33,8 @@
     removals.emplace_back(r.id, r.revision);
   }
   msgpack::sbuffer buffer;
-  msgpack::pack(buffer,
-                Wire(changes.since, changes.revision, std::move(rows),
-                     std::move(removals), changes.recovery_left.count()));
+  msgpack::pack(buffer, Wire(changes.since, changes.revision, std::move(rows),
+                             std::move(removals)));
   return {buffer.data(), buffer.size()};
 }
 
@@ -43,11 +42,9 @@
   Changes out;
   try {
     msgpack::object_handle handle = msgpack::unpack(text.data(), text.size());
-    auto [since, revision, rows, removals, recovery_ms] =
-        handle.get().as<Wire>();
+    auto [since, revision, rows, removals] = handle.get().as<Wire>();
     out.since = since;
     out.revision = revision;
-    out.recovery_left = base::Millis(recovery_ms);
     for (const Row& row : rows) {
       Upstream u;
       int64_t cold_ms = 0;
--- a/almondwind/fleet/view.cc
+++ b/almondwind/fleet/view.cc
@@ -80,12 +80,9 @@
   revision_ = std::max(revision_, revision);
 }
 
-void View::OnStoreReturned(Millis now) {
-  DelayRemovals(now + options_.recovery_removal_delay);
-}
-
-void View::DelayRemovals(Millis until) {
-  recovering_until_ = std::max(recovering_until_, until);
+void View::OnStoreReturned(Millis at) {
+  recovering_until_ =
+      std::max(recovering_until_, at + options_.recovery_removal_delay);
   for (auto& [id, due] : pending_removals_) {
     due = std::max(due, recovering_until_);
   }
@@ -146,10 +143,9 @@
   return out;
 }
 
-Changes View::ChangesSince(uint64_t revision, Millis now) const {
+Changes View::ChangesSince(uint64_t revision) const {
   Changes changes;
   changes.revision = revision_;
-  changes.recovery_left = std::max(Millis(0), recovering_until_ - now);
   if (revision == 0 || revision < removals_complete_from_) {
     changes.upstreams = List();
     return changes;
@@ -168,9 +164,6 @@
 
 bool View::Apply(const Changes& changes, Millis now) {
   if (changes.revision <= revision_ && revision_ != 0) return false;
-  if (changes.recovery_left > Millis(0)) {
-    DelayRemovals(now + changes.recovery_left);
-  }
   if (changes.since == 0) {
     return Replace(changes.upstreams, changes.revision, now);
   }
--- a/almondwind/fleet/view.h
+++ b/almondwind/fleet/view.h
@@ -61,9 +61,6 @@
   uint64_t revision = 0;
   std::vector<Upstream> upstreams;
   std::vector<Removal> removals;
-  // How much longer entries that vanish are kept because of an outage of the
-  // store; the receiver may not have noticed the outage.
-  base::Millis recovery_left{0};
 };
 
 struct ViewOptions {
@@ -93,9 +90,9 @@
   bool Remove(const std::string& id, uint64_t revision, base::Millis now);
   // Records that all changes up to `revision` have been applied.
   void Advance(uint64_t revision);
-  // Records that the store was unavailable until now: entries that it lacks are
-  // kept for the longer delay.
-  void OnStoreReturned(base::Millis now);
+  // Records that the store was unavailable until `at`: entries that it lacks
+  // are kept for the longer delay from then on.
+  void OnStoreReturned(base::Millis at);
   // Removes entries whose removal is due; returns whether there were any.
   bool Sweep(base::Millis now);
   // Returns the time until the next removal is due, or a negative value if none
@@ -119,7 +116,7 @@
   // Returns the upstreams whose removal is not pending.
   std::vector<Upstream> List() const;
   // Returns what a peer whose view is complete up to `revision` lacks.
-  Changes ChangesSince(uint64_t revision, base::Millis now) const;
+  Changes ChangesSince(uint64_t revision) const;
   // Applies a peer's changes, unless the view is as new already or lacks what
   // happened before them. Returns whether anything changed.
   bool Apply(const Changes& changes, base::Millis now);
@@ -130,8 +127,6 @@
   static constexpr size_t kMaxRemovals = 512;
 
   void ScheduleRemoval(const std::string& id, base::Millis now);
-  // Keeps entries that vanish at least until `until`.
-  void DelayRemovals(base::Millis until);
   void RecordRemoval(const std::string& id, uint64_t revision);
 
   const ViewOptions options_;
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -28,7 +28,7 @@
 
 // Incremented whenever a field changes meaning; a peer with another version is
 // refused at Hello.
-constexpr uint32_t kProtocolVersion = 4;
+constexpr uint32_t kProtocolVersion = 5;
 
 enum class FrameType : uint8_t {
   kHello,
--- a/almondwind/sidecar/documents.cc
+++ b/almondwind/sidecar/documents.cc
@@ -22,6 +22,7 @@
       events_(events),
       view_(fleet::ViewOptions()),
       election_(options.election, options.address),
+      outage_(options.outage),
       sweep_(timers) {}
 
 void Documents::Start() { feed_.Start(*this); }
@@ -73,12 +74,25 @@
 void Documents::OnRevision(uint64_t revision) {
   view_.Advance(revision);
   complete_revision_ = std::max(complete_revision_, revision);
+  OnStoreAnswered(timers_.Now());
   election_.OnConfirmed(timers_.Now());
   if (std::exchange(news_, false)) events_.OnNews();
 }
 
+// Entries expire while the store is away, so those that it lacks on its return
+// are kept for a while. A node's own trouble with the store is no reason to: it
+// may answer the others, and then what it says of departures holds.
+void Documents::OnStoreAnswered(Millis at) {
+  Millis before = outage_.last_answer();
+  if (!outage_.OnAnswered(at)) return;
+  view_.OnStoreReturned(at);
+  log_.Write("store_outage",
+             {{"answered_none_ms", (at - before).count()},
+              {"ended_ms_ago", (timers_.Now() - at).count()},
+              {"next_removal_in_ms", view_.UntilSweep(timers_.Now()).count()}});
+}
+
 void Documents::OnAvailable(bool available, const std::string& why) {
-  if (available) view_.OnStoreReturned(timers_.Now());
   election_.SetCanRead(available);
   log_.Write(available ? "store_back" : "store_lost",
              {{"why", why}, {"revision", view_.revision()}});
@@ -193,6 +207,9 @@
   if (link.zone() == options_.zone) {
     election_.SetPeer(link.peer(), state.can_read_store && !state.leaving);
   }
+  if (state.confirmed_revision != 0) {
+    OnStoreAnswered(timers_.Now() - Millis(state.confirmed_age_ms));
+  }
   using Kind = peers::DocumentKind;
   RequestIfBehind(link, Kind::kConfig, newer_config_, state.config_version,
                   config_version());
@@ -241,8 +258,8 @@
   } else {
     if (view_.revision() <= request.known_version) return;
     document.version = view_.revision();
-    document.text = fleet::EncodeChanges(
-        view_.ChangesSince(request.known_version, timers_.Now()));
+    document.text =
+        fleet::EncodeChanges(view_.ChangesSince(request.known_version));
   }
   link.Send(document);
 }
--- a/almondwind/sidecar/documents.h
+++ b/almondwind/sidecar/documents.h
@@ -20,6 +20,7 @@
 #include <string>
 #include <vector>
 
+#include "almondwind/fleet/outage_detector.h"
 #include "almondwind/fleet/reader_election.h"
 #include "almondwind/fleet/view.h"
 #include "almondwind/loop/timers.h"
@@ -33,6 +34,7 @@
   std::string address;  // "ip:port" at which peers reach this node
   std::string zone;
   fleet::ElectionOptions election;
+  fleet::OutageOptions outage;
   // How long a newer document may be known to exist before peers are asked for
   // it that are not expected to deliver it first.
   base::Millis behind_delay{600};
@@ -101,6 +103,8 @@
   static constexpr base::Names<4> kUpstreamStateNames = {
       "unknown", "ready", "draining", "vanished"};
 
+  // The store answered this node or a peer at time `at`.
+  void OnStoreAnswered(base::Millis at);
   bool ApplyConfig(const std::string& document, const std::string& source);
   // `source` of the change, for the log: "store", "peer" or "sweep".
   void OnViewChanged(const char* source);
@@ -120,6 +124,7 @@
   fleet::View view_;
   std::map<std::string, UpstreamState> logged_states_;  // by upstream id
   fleet::ReaderElection election_;
+  fleet::OutageDetector outage_;
   fleet::WatchMode mode_ = fleet::WatchMode::kShort;
   routes::RouteTablePtr table_;
   std::string config_document_;
