--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -220,15 +220,26 @@
     }
     s.max_descriptors = 256;
     s.stop_grace = Millis(6000);
-    feeds.push_back(std::make_unique<TestFeed>());
-    Environment environment{*source, dialect, config, *feeds.back()};
-    nodes.push_back(std::make_unique<Node>(
-        io, timers, s, environment, static_cast<uint64_t>(100 + i), log));
     settings.push_back(std::move(source));
-    nodes.back()->Start();
+    feeds.emplace_back();
+    nodes.emplace_back();
+    StartNode(static_cast<size_t>(i));
   }
 }
 
+void World::StartNode(size_t i) {
+  feeds[i] = std::make_unique<TestFeed>();
+  Environment environment{*settings[i], dialect, config, *feeds[i]};
+  nodes[i] = std::make_unique<Node>(io, timers, settings[i]->settings,
+                                    environment, next_incarnation_++, log);
+  nodes[i]->Start();
+}
+
+void World::RestartNode(size_t i) {
+  nodes[i].reset();
+  StartNode(i);
+}
+
 World::~World() = default;
 
 bool World::Until(const std::function<bool()>& done, Millis limit) {
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -134,6 +134,9 @@
   std::vector<fleet::Upstream> List() const;
   std::unique_ptr<TestCaller> Call(int node);
   std::string callers(int i) const;
+  // Ends node `i` without a planned stop and starts a new process in its place,
+  // which knows nothing.
+  void RestartNode(size_t i);
 
   boost::asio::io_context io;
   base::SteadyClock clock;
@@ -146,6 +149,11 @@
   std::vector<std::unique_ptr<TestUpstream>> upstreams;
   std::vector<std::unique_ptr<loop::testing::Relay>> relays;
   std::vector<std::unique_ptr<Node>> nodes;
+
+ private:
+  void StartNode(size_t i);
+
+  uint64_t next_incarnation_ = 100;
 };
 
 // Requests with the given id; `timeout_ms` is sent as the caller's timeout.
