Keep the request rate that an upstream states

What callers saw: an upstream in need got far more requests than it had stated that it takes (LIMIT), and calls beyond that waited there until they timed out.

Cause: the field was not read. Class: flow control by concurrency alone, which does not bound a rate.

Change: the gate, which all requests to its upstream pass, starts runs by a token bucket of the stated rate (machines/pacer.h). Its reports state the limit as the slots that the rate fills, so routers and the plan use other upstreams or refuse at the entry. A response without a rate ends the limit only if its request was sent after the newest one with a rate. Every node remembers what an upstream stated; calls remind a gate whose process has restarted until the upstream has responded to it.

--- a/almondwind/machines/gate.cc
+++ b/almondwind/machines/gate.cc
@@ -83,11 +83,22 @@
   size_t ahead = 0;
   size_t last = options_.separate_classes ? Index(cls) : base::kClassCount - 1;
   for (size_t i = 0; i <= last; ++i) ahead += queues_[i].size();
-  if (ahead == 0 && in_progress() < limit) return Millis(0);
+  Millis pace = pacer_.WaitFor(static_cast<double>(ahead) + 1, now);
+  if (ahead == 0 && in_progress() < limit) return pace;
   // Number of runs that must end before a new run can start.
   double ends =
       static_cast<double>(ahead) + 1 + std::max(0, in_progress() - limit);
-  return Millis(std::llround(ends * ServiceMillis(now) / limit));
+  Millis slot(std::llround(ends * ServiceMillis(now) / limit));
+  // Runs that wait for the rate alone do not wait for a slot too.
+  return pacer_.rate() && in_progress() < limit ? pace : std::max(pace, slot);
+}
+
+// Little's law: runs in progress are the rate times the time of one run.
+int Gate::ReportedLimit(Millis now) const {
+  int limit = Limit(now);
+  if (!pacer_.rate() || service_ms_ == 0) return limit;
+  double runs = *pacer_.rate() * service_ms_ / 1000;
+  return std::clamp(static_cast<int>(std::ceil(runs)), 1, limit);
 }
 
 bool Gate::BelowFloor(RequestClass cls) const {
@@ -154,6 +165,7 @@
 }
 
 void Gate::StartRun(const RunPtr& run, Millis now) {
+  pacer_.Take(now);
   run->state = RunState::kRunning;
   run->started = now;
   start_time_sum_ms_ += now.count();
@@ -164,7 +176,7 @@
 void Gate::StartQueued(Millis now) {
   for (size_t i = 0; i < base::kClassCount; ++i) {
     Queue& queue = queues_[i];
-    while (!queue.empty() && in_progress() < Limit(now)) {
+    while (!queue.empty() && in_progress() < Limit(now) && pacer_.Ready(now)) {
       RunPtr run = Pop(queue);
       // Deadlines and waits are checked again when a run is dispatched: after
       // a pause of the process the queue is full of runs that have expired.
@@ -248,7 +260,7 @@
 links::Load Gate::CurrentLoad(Millis now) const {
   links::Load load;
   load.in_progress = static_cast<uint32_t>(in_progress());
-  load.limit = static_cast<uint32_t>(Limit(now));
+  load.limit = static_cast<uint32_t>(ReportedLimit(now));
   load.service_ms = static_cast<uint32_t>(std::lround(ServiceMillis(now)));
   load.leaving = leaving_;
   // Classes below the floor are admitted again only once it is relaxed.
--- a/almondwind/machines/gate.h
+++ b/almondwind/machines/gate.h
@@ -27,6 +27,7 @@
 #include <array>
 #include <boost/intrusive/list.hpp>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
@@ -34,6 +35,7 @@
 #include "almondwind/base/outcome.h"
 #include "almondwind/links/message.h"
 #include "almondwind/machines/limiter.h"
+#include "almondwind/machines/pacer.h"
 #include "almondwind/machines/request.h"
 
 namespace almondwind::machines {
@@ -92,6 +94,10 @@
   void Leave();
   // Stops draining and admits runs again. If `cold`, the limit is ramped up.
   void Join(base::Millis now, bool cold);
+  // Limits the runs that start per second; nullopt: no limit.
+  void SetRate(std::optional<double> per_s, base::Millis now) {
+    pacer_.SetRate(per_s, now);
+  }
   // Replaces the options. Runs in progress are not affected.
   void Configure(const GateOptions& options);
 
@@ -129,6 +135,9 @@
   void StartQueued(base::Millis now);
   void StartRun(const RunPtr& run, base::Millis now);
   RunPtr Pop(Queue& queue);
+  // Returns the limit that is reported to routers: with a limited rate, the
+  // runs in progress at which the upstream ends that many per second.
+  int ReportedLimit(base::Millis now) const;
   // Returns the estimated time that the upstream takes for one run.
   double ServiceMillis(base::Millis now) const;
 
@@ -137,6 +146,7 @@
   GateOptions options_;
   GateEvents& events_;
   std::unique_ptr<Limiter> limiter_;
+  Pacer pacer_;
   std::array<Queue, base::kClassCount> queues_;
   std::unordered_map<uint64_t, RunPtr> running_;
   // Sum of the start times of the runs in progress; gives their mean age.
--- a/almondwind/machines/testing/gate_test.cc
+++ b/almondwind/machines/testing/gate_test.cc
@@ -118,6 +118,42 @@
   BOOST_TEST((waiting->state == RunState::kRunning));
 }
 
+// Pattern: an upstream in need states a rate. Failure: its gate kept to slots
+// only, and short runs freed them many times a second.
+BOOST_AUTO_TEST_CASE(a_stated_rate_is_kept_whatever_slots_are_free) {
+  for (double rate : {0.0, 0.7, 3.0, 20.3, 250.0}) {
+    Harness h(50);
+    h.gate.SetRate(rate, h.now);
+    size_t started = 0;
+    for (int ms = 0; ms < 8000; ++ms, h.now = h.now + Millis(1)) {
+      h.Offer(RequestClass::kNormal);
+      if (ms % 10 == 0) h.gate.Tick(h.now);
+      started += h.running.size();
+      while (!h.running.empty()) h.EndOne();
+    }
+    double kept = std::max(rate, machines::Pacer::kMinRate);
+    BOOST_TEST(static_cast<double>(started) <= 8 * kept + kept / 10 + 2, rate);
+    BOOST_TEST(static_cast<double>(started) >= 8 * kept * 0.9 - 1, rate);
+    h.gate.SetRate(std::nullopt, h.now);
+    BOOST_TEST(h.gate.ExpectedWait(RequestClass::kCritical, h.now).count() ==
+               0);
+  }
+}
+
+// Routers choose by free slots, and the plan counts them. A rate is reported as
+// the slots that it fills.
+BOOST_AUTO_TEST_CASE(a_stated_rate_is_reported_as_slots) {
+  Harness h(10);
+  WarmUp(h, 10);  // runs of 50 ms
+  BOOST_TEST(h.gate.CurrentLoad(h.now).limit == 10U);
+  h.gate.SetRate(60, h.now);
+  BOOST_TEST(h.gate.CurrentLoad(h.now).limit == 3U);
+  h.gate.SetRate(1000, h.now);
+  BOOST_TEST(h.gate.CurrentLoad(h.now).limit == 10U);
+  h.gate.SetRate(0, h.now);
+  BOOST_TEST(h.gate.CurrentLoad(h.now).limit == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(cold_upstream_is_ramped) {
   Harness h(10);
   h.gate.Join(h.now, /*cold=*/true);
--- a/almondwind/peers/frames.cc
+++ b/almondwind/peers/frames.cc
@@ -72,15 +72,20 @@
     m.leaving);
 }
 template <typename F>
+void VisitFields(F& f, machines::Announcement& m) {
+  f(m.upstream, m.started_at, m.first_hand, m.rate);
+}
+template <typename F>
 void VisitFields(F& f, State& m) {
   f(m.config_version, m.fleet_revision, m.confirmed_revision,
     m.confirmed_age_ms, m.can_read_store, m.leaving, m.service, m.load,
-    m.detailed, m.demand, m.costs);
+    m.announcement, m.detailed, m.demand, m.costs);
 }
 template <typename F>
 void VisitFields(F& f, Call& m) {
   f(m.id, m.upstream, m.route, m.cls, m.idempotent, m.max_wait_ms,
-    m.time_left_ms, m.caller_service, m.method, m.target, m.headers, m.rest);
+    m.time_left_ms, m.caller_service, m.reminder, m.method, m.target, m.headers,
+    m.rest);
 }
 template <typename F>
 void VisitFields(F& f, Cancel& m) {
@@ -88,8 +93,8 @@
 }
 template <typename F>
 void VisitFields(F& f, Answer& m) {
-  f(m.id, m.outcome, m.reason, m.arrived, m.retry_after_ms, m.load, m.status,
-    m.phrase, m.headers, m.rest);
+  f(m.id, m.outcome, m.reason, m.arrived, m.retry_after_ms, m.load,
+    m.announcement, m.status, m.phrase, m.headers, m.rest);
 }
 template <typename F>
 void VisitFields(F& f, DocumentRequest& m) {
@@ -138,6 +143,18 @@
       WireHeaders{field, names}.Pack(out);
     } else if constexpr (std::is_same_v<T, links::Load>) {
       VisitFields(*this, field);
+    } else if constexpr (std::is_same_v<T, machines::Announcement>) {
+      if (field.upstream.empty()) {
+        out.pack_nil();
+      } else {
+        VisitFields(*this, field);
+      }
+    } else if constexpr (std::is_same_v<T, std::optional<double>>) {
+      if (field) {
+        out.pack(*field);
+      } else {
+        out.pack_nil();
+      }
     } else if constexpr (std::is_same_v<T, double>) {
       // float is precise enough for measured values and halves their size.
       out.pack(static_cast<float>(field));
@@ -181,6 +198,12 @@
     } else if constexpr (std::is_same_v<T, links::Load>) {
       FieldUnpacker inner{object, names};
       VisitFields(inner, field);
+    } else if constexpr (std::is_same_v<T, machines::Announcement>) {
+      if (object.is_nil()) return;
+      FieldUnpacker inner{object, names};
+      VisitFields(inner, field);
+    } else if constexpr (std::is_same_v<T, std::optional<double>>) {
+      if (!object.is_nil()) field = object.as<double>();
     } else if constexpr (std::is_same_v<T, BodyRest>) {
       UnpackRest(object, field);
     } else if constexpr (kIsStructList<T>) {
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -23,12 +23,13 @@
 
 #include "almondwind/http/message.h"
 #include "almondwind/links/message.h"
+#include "almondwind/machines/announcement.h"
 
 namespace almondwind::peers {
 
 // Incremented whenever a field changes meaning; a peer with another version is
 // refused at Hello.
-constexpr uint32_t kProtocolVersion = 5;
+constexpr uint32_t kProtocolVersion = 6;
 
 enum class FrameType : uint8_t {
   kHello,
@@ -84,6 +85,7 @@
   bool leaving = false;
   std::string service;  // of the sender's upstream
   links::Load load;
+  machines::Announcement announcement;  // of the sender's upstream
   // Whether demand and costs are included; if not, the previous ones stay
   // valid.
   bool detailed = false;
@@ -101,6 +103,8 @@
   uint32_t max_wait_ms = 0;   // in the gate's queue
   uint32_t time_left_ms = 0;  // of the request's deadline
   std::string caller_service;
+  // What the sender remembers of the upstream, for a gate that has restarted.
+  machines::Announcement reminder;
   std::string method;
   std::string target;
   http::Headers headers;
@@ -120,6 +124,7 @@
   bool arrived = false;
   uint32_t retry_after_ms = 0;
   links::Load load;
+  machines::Announcement announcement;  // empty upstream: nothing announced
   uint32_t status = 0;
   std::string phrase;
   http::Headers headers;
--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -169,6 +169,10 @@
   out.time_left_ms = static_cast<uint32_t>(left.count());
   out.max_wait_ms = static_cast<uint32_t>(MaxWait(call, left).count());
   out.caller_service = options_.service;
+  if (const machines::Announcement* known =
+          announcements_.Find(machine.name(), machine.entry().started_at)) {
+    out.reminder = *known;
+  }
   out.method = call.request.method;
   out.target = call.request.target;
   out.headers = call.request.headers;
@@ -215,6 +219,7 @@
     attempts_.erase(attempt);
     call.attempt = 0;
   }
+  announcements_.Remember(answer.announcement);
   auto outcome = static_cast<Outcome>(answer.outcome);
   auto reason = static_cast<Reason>(answer.reason);
   // A gate that refuses because of load is healthy. One whose upstream is
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -166,6 +166,11 @@
   // Records the load that the gate at `link` reports.
   void OnLoad(const std::string& link, const links::Load& load);
 
+  // Records what the upstream of a gate has announced.
+  void OnAnnouncement(const machines::Announcement& announcement) {
+    announcements_.Remember(announcement);
+  }
+
   size_t in_progress() const { return calls_.size(); }
   // Builds a response that this node generates itself.
   http::Response LocalResponse(int status, base::Reason reason,
@@ -214,6 +219,7 @@
   routes::Splitter splitter_;
   routes::RetryBudget budget_;
   zones::Directory directory_;
+  machines::AnnouncementMemory announcements_;
   std::unique_ptr<zones::Picker> picker_;
   zones::Random random_;
   std::unordered_map<uint64_t, EntryCallPtr> calls_;
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -40,6 +40,8 @@
   bool not_run = false;         // the upstream did not run the request
   bool wrong_upstream = false;  // the address now belongs to another upstream
   bool encoded = false;         // the body was re-encoded on the way
+  // Requests per second that the upstream takes from all nodes together.
+  std::optional<double> rate;
   // Keep-alive timeout of the connection, if the upstream announces one.
   std::optional<base::Millis> idle_limit;
 };
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -90,11 +90,15 @@
     return;
   }
   bool restarted = upstream->started_at != started_at_;
+  bool limited = !tracker_.current().empty();
+  tracker_.SetUpstream(upstream->id, upstream->started_at);
+  if (limited && tracker_.current().empty()) ApplyAnnouncement("restart");
   int usable = machines::UsableSlots(upstream->slots, options_.usable_percent);
   if (upstream->slots > 0 && usable != slots_ && runs_.empty()) {
     slots_ = usable;
     gate_ = std::make_unique<machines::Gate>(slots_, kMaxConnections,
                                              options_.gate, *this);
+    gate_->SetRate(tracker_.current().rate, timers_.Now());
   }
   if (upstream->draining) {
     CloseGate("draining");
@@ -109,6 +113,29 @@
   CloseGate("stopping");
 }
 
+void GateServer::OnAnnouncement(const GateRun& run,
+                                const ResponseMetadata& metadata) {
+  // A response of another upstream at this address, or to a call for one that
+  // this node does not know yet, says nothing of the present one.
+  bool own = !metadata.wrong_upstream &&
+             run.call.upstream == tracker_.current().upstream;
+  if (own &&
+      tracker_.OnResponse(run.run->started, metadata.rate, timers_.Now())) {
+    ApplyAnnouncement("response");
+  }
+}
+
+void GateServer::ApplyAnnouncement(const char* source) {
+  const machines::Announcement& announced = tracker_.current();
+  gate_->SetRate(announced.rate, timers_.Now());
+  log_.Write("upstream_rate", {{"upstream", announced.upstream},
+                               {"limited", announced.rate.has_value()},
+                               {"per_s", announced.rate.value_or(0)},
+                               {"source", source},
+                               {"in_progress", gate_->in_progress()},
+                               {"queued", gate_->queued()}});
+}
+
 void GateServer::CloseGate(const char* why) {
   if (!gate_->leaving()) {
     closed_at_ = timers_.Now();
@@ -130,6 +157,7 @@
 
 void GateServer::Offer(const CallKey& key, peers::Call call, Reply reply) {
   Millis now = timers_.Now();
+  if (tracker_.OnReminder(call.reminder)) ApplyAnnouncement("peer");
   machines::RequestPtr request(new machines::Request);
   request->id = call.route;
   request->cls = static_cast<base::RequestClass>(call.cls);
@@ -211,6 +239,7 @@
   auto it = runs_.find(exchange);
   if (it == runs_.end()) return;
   machines::RunPtr run = it->second.run;
+  if (kind == EndKind::kAnswer) OnAnnouncement(it->second, metadata);
   Millis now = timers_.Now();
   peers::Answer answer = AnswerFor(kind, std::move(response), metadata);
   bool completed = answer.status / 100 == 2;
@@ -229,6 +258,7 @@
   by_key_.erase(run.key);
   answer.id = run.key.second;
   answer.load = Load();
+  if (!announcement().empty()) answer.announcement = announcement();
   LogEnd(run, answer);
   Millis until =
       run.run->started > Millis(0) ? run.run->started : timers_.Now();
@@ -326,6 +356,7 @@
   auto it = runs_.find(exchange);
   if (it == runs_.end()) return;
   GateRun& gate_run = it->second;
+  OnAnnouncement(gate_run, metadata);
   peers::Answer answer =
       AnswerFor(EndKind::kAnswer, std::move(response), metadata);
   bool passed_on = answer.outcome == static_cast<uint8_t>(Outcome::kAnswered);
@@ -340,6 +371,7 @@
   gate_run.response_started = true;
   answer.id = gate_run.key.second;
   answer.load = Load();
+  if (!announcement().empty()) answer.announcement = announcement();
   metrics_.OnGateEnd(Outcome::kAnswered, static_cast<Reason>(answer.reason),
                      gate_run.run->started - gate_run.run->enqueued);
   gate_run.reply(std::move(answer));
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -28,6 +28,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "almondwind/machines/announcement.h"
 #include "almondwind/machines/gate.h"
 #include "almondwind/peers/frames.h"
 #include "almondwind/sidecar/environment.h"
@@ -106,6 +107,10 @@
   void Leave();
 
   links::Load Load() const;
+  // What the upstream has announced in its responses.
+  const machines::Announcement& announcement() const {
+    return tracker_.current();
+  }
   bool idle() const { return runs_.empty(); }
   size_t in_progress() const { return runs_.size(); }
 
@@ -144,6 +149,10 @@
   void LogEnd(const GateRun& run, const peers::Answer& answer) const;
   // Stops accepting new requests because the upstream leaves. `why`, for the
   // log: "draining", "not_listed" or "stopping".
+  void OnAnnouncement(const GateRun& run, const ResponseMetadata& metadata);
+  // Makes the gate keep what is announced. `source`, for the log: "response" or
+  // "peer".
+  void ApplyAnnouncement(const char* source);
   void CloseGate(const char* why);
   void OpenGate(bool cold);
 
@@ -155,6 +164,7 @@
   RunObserver& observer_;
   UpstreamPool* pool_ = nullptr;
   std::unique_ptr<machines::Gate> gate_;
+  machines::AnnouncementTracker tracker_;
   int slots_ = 0;
   int64_t started_at_ = 0;  // start time of the current upstream process
   bool stopping_ = false;
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -168,6 +168,7 @@
     entry.zone = upstream->zone;
     entry.region = settings_.region;
     entry.leaving = upstream->draining;
+    entry.started_at = upstream->started_at;
     std::string ip = upstream->address.substr(0, upstream->address.rfind(':'));
     entry.link = ip + ":" + std::to_string(settings_.peer_port);
     nodes_by_zone[entry.zone].push_back(entry.link);
@@ -267,6 +268,7 @@
   state.leaving = stopping_;
   state.service = settings_.service;
   state.load = gate_.Load();
+  state.announcement = gate_.announcement();
   return state;
 }
 
@@ -279,6 +281,7 @@
 
 void Node::OnState(peers::Link& link, const peers::State& state) {
   dispatcher_.OnLoad(link.peer(), state.load);
+  dispatcher_.OnAnnouncement(state.announcement);
   if (state.detailed) traffic_.OnReport(link.peer(), link.zone(), state);
   documents_.OnState(link, state);
 }
@@ -287,6 +290,7 @@
   documents_.UpdateWatch();
   peers::State own = DetailedReport();
   dispatcher_.OnLoad(settings_.links, own.load);
+  dispatcher_.OnAnnouncement(own.announcement);
   traffic_.OnReport(settings_.links, settings_.zone, own);
   traffic_.Plan(dispatcher_.directory(), dispatcher_.eject_options());
   LogPlan(own);
--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -38,6 +38,9 @@
   }
   metadata.sealed = response.headers.Find("Seal") != nullptr;
   metadata.not_run = response.headers.Find("Not-Run") != nullptr;
+  if (const std::string* rate = response.headers.Find("Rate")) {
+    metadata.rate = std::stod(*rate);
+  }
   return metadata;
 }
 
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -18,7 +18,8 @@
 
 namespace almondwind::sidecar::testing {
 
-// Uses the header fields Id, Patience, Upstream, From, Seal and Not-Run.
+// Uses the header fields Id, Patience, Upstream, From, Seal, Not-Run and
+// Rate.
 class TestDialect : public Dialect {
  public:
   CallerMetadata ReadCaller(const http::Headers& headers) const override;
--- a/almondwind/zones/machine.h
+++ b/almondwind/zones/machine.h
@@ -27,6 +27,7 @@
   std::string link;     // "ip:port" of the gate
   std::string control;  // "ip:port" for control messages
   bool leaving = false;
+  int64_t started_at = 0;  // Unix time in ms; distinguishes incarnations
 };
 
 // Ejection of machines that fail or do not answer.
