Send nothing more to upstreams that say they are leaving

What callers and upstreams saw: an upstream that said in all its answers that it leaves went on getting requests until the store, or a peer, said so too (DRAIN).

Cause: the field was not read; the store was the only source of departures. Class: a belief that only one source can change, and that an older copy can undo.

Change: a response with the field closes the gate, whatever the store's entry says, for as long as that process of the upstream lives. Gates report it, and every node that hears of it leaves the upstream out, remembering it by id and start time: a restart of the gate's node, an older list, or an entry that vanishes and comes back does not undo it; a new process of the upstream is used. A gate that knows no list yet passes on what it reads as well.

Test upstreams have a start time, as those of the platform always do.

--- a/almondwind/machines/announcement.cc
+++ b/almondwind/machines/announcement.cc
@@ -1,12 +1,17 @@
 #include "almondwind/machines/announcement.h"
 
+#include <algorithm>
+
 namespace almondwind::machines {
 
 using base::Millis;
 
 void AnnouncementTracker::SetUpstream(const std::string& upstream,
                                       int64_t started_at) {
-  if (current_.upstream == upstream && current_.started_at == started_at) {
+  bool same = current_.upstream == upstream &&
+              (current_.started_at == started_at || current_.started_at == 0);
+  if (same) {
+    current_.started_at = started_at;
     return;
   }
   current_ = Announcement();
@@ -16,16 +21,17 @@
 }
 
 bool AnnouncementTracker::OnResponse(Millis sent_at, std::optional<double> rate,
-                                     Millis now) {
+                                     bool leaving, Millis now) {
   Announcement before = current_;
   current_.first_hand = true;
+  current_.leaving = current_.leaving || leaving;
   if (rate) {
     current_.rate = rate;
     rate_stated_at_ = now;
   } else if (sent_at >= rate_stated_at_) {
     current_.rate.reset();
   }
-  return before.rate != current_.rate;
+  return before.rate != current_.rate || before.leaving != current_.leaving;
 }
 
 bool AnnouncementTracker::OnReminder(const Announcement& reminder) {
@@ -38,28 +44,46 @@
   return true;
 }
 
-void AnnouncementMemory::Remember(const Announcement& reported) {
-  if (reported.upstream.empty()) return;
+bool AnnouncementMemory::Remember(const Announcement& reported) {
+  if (reported.upstream.empty()) return false;
   auto it = known_.find(reported.upstream);
-  if (it != known_.end() && it->second.started_at > reported.started_at) return;
-  bool same =
-      it != known_.end() && it->second.started_at == reported.started_at;
-  // A gate whose process has just started does not know what its predecessor
-  // knew.
-  if (same && !reported.first_hand && reported.empty()) return;
-  if (reported.empty()) {
+  const Announcement* known =
+      it == known_.end() ? nullptr : &it->second.announcement;
+  if (known != nullptr && known->started_at > reported.started_at) return false;
+  bool same = known != nullptr && known->started_at == reported.started_at;
+  Announcement merged = reported;
+  if (same) {
+    // A gate whose process has just started does not know what its predecessor
+    // knew.
+    if (!reported.first_hand && !reported.rate) merged.rate = known->rate;
+    merged.leaving = merged.leaving || known->leaving;
+  }
+  bool news = merged.leaving && !(same && known->leaving);
+  if (merged.empty()) {
     if (it != known_.end()) known_.erase(it);
-    return;
+    return false;
   }
-  if (it == known_.end() && known_.size() >= kMaxUpstreams) return;
-  known_[reported.upstream] = reported;
+  if (it == known_.end() && known_.size() >= kMaxUpstreams) ForgetOldest();
+  Entry& entry = known_[reported.upstream];
+  if (!same) entry.added = ++added_;
+  entry.announcement = merged;
+  return news;
+}
+
+void AnnouncementMemory::ForgetOldest() {
+  auto oldest = std::min_element(known_.begin(), known_.end(),
+                                 [](const auto& a, const auto& b) {
+                                   return a.second.added < b.second.added;
+                                 });
+  known_.erase(oldest);
 }
 
 const Announcement* AnnouncementMemory::Find(const std::string& upstream,
                                              int64_t started_at) const {
   auto it = known_.find(upstream);
-  bool found = it != known_.end() && it->second.started_at == started_at;
-  return found ? &it->second : nullptr;
+  if (it == known_.end()) return nullptr;
+  const Announcement& known = it->second.announcement;
+  return known.started_at == started_at ? &known : nullptr;
 }
 
 }  // namespace almondwind::machines
--- a/almondwind/peers/frames.cc
+++ b/almondwind/peers/frames.cc
@@ -73,7 +73,7 @@
 }
 template <typename F>
 void VisitFields(F& f, machines::Announcement& m) {
-  f(m.upstream, m.started_at, m.first_hand, m.rate);
+  f(m.upstream, m.started_at, m.first_hand, m.rate, m.leaving);
 }
 template <typename F>
 void VisitFields(F& f, State& m) {
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -29,7 +29,7 @@
 
 // Incremented whenever a field changes meaning; a peer with another version is
 // refused at Hello.
-constexpr uint32_t kProtocolVersion = 6;
+constexpr uint32_t kProtocolVersion = 7;
 
 enum class FrameType : uint8_t {
   kHello,
--- a/almondwind/peers/testing/frames_test.cc
+++ b/almondwind/peers/testing/frames_test.cc
@@ -26,10 +26,10 @@
   call.headers.Add("host", "h.example");
   call.headers.Add("X-Other", "1");
   call.body = std::string("a\0b", 3);
-  call.reminder = {"i-1", 1700000000000, true, 20.25};
+  call.reminder = {"i-1", 1700000000000, true, 20.25, false};
   Answer answer;
   answer.id = 7;
-  answer.announcement = {"i-1", 1700000000000, true, std::nullopt};
+  answer.announcement = {"i-1", 1700000000000, true, std::nullopt, true};
   answer.status = 200;
   answer.headers.Add("Accept", "x");
   answer.body = std::string(1000, 'z');
--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -219,7 +219,10 @@
     attempts_.erase(attempt);
     call.attempt = 0;
   }
-  announcements_.Remember(answer.announcement);
+  if (answer.announcement.started_at == 0) {
+    answer.announcement.started_at = call.machine->entry().started_at;
+  }
+  OnAnnouncement(answer.announcement);
   auto outcome = static_cast<Outcome>(answer.outcome);
   auto reason = static_cast<Reason>(answer.reason);
   // A gate that refuses because of load is healthy. One whose upstream is
@@ -391,6 +394,20 @@
   }
 }
 
+void Dispatcher::OnAnnouncement(const machines::Announcement& announcement) {
+  if (!announcements_.Remember(announcement)) return;
+  log_.Write("upstream_leaving", {{"upstream", announcement.upstream},
+                                  {"started_at", announcement.started_at}});
+  zones::Machine* machine = directory_.FindHost(announcement.upstream);
+  if (machine == nullptr ||
+      machine->entry().started_at != announcement.started_at) {
+    return;
+  }
+  zones::HostEntry entry = machine->entry();
+  entry.leaving = true;
+  machine->SetEntry(entry);
+}
+
 void Dispatcher::Log(const EntryCall& call, int status,
                      const std::string& why) {
   const char* event = why == "answered" ? "answered" : "ended";
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -167,8 +167,13 @@
   void OnLoad(const std::string& link, const links::Load& load);
 
   // Records what the upstream of a gate has announced.
-  void OnAnnouncement(const machines::Announcement& announcement) {
-    announcements_.Remember(announcement);
+  void OnAnnouncement(const machines::Announcement& announcement);
+  // Returns whether this process of the upstream has announced that it leaves.
+  bool HasAnnouncedLeaving(const std::string& upstream,
+                           int64_t started_at) const {
+    const machines::Announcement* known =
+        announcements_.Find(upstream, started_at);
+    return known != nullptr && known->leaving;
   }
 
   size_t in_progress() const { return calls_.size(); }
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -42,6 +42,7 @@
   bool encoded = false;         // the body was re-encoded on the way
   // Requests per second that the upstream takes from all nodes together.
   std::optional<double> rate;
+  bool leaving = false;  // the upstream is going to shut down
   // Keep-alive timeout of the connection, if the upstream announces one.
   std::optional<base::Millis> idle_limit;
 };
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -100,7 +100,9 @@
                                              options_.gate, *this);
     gate_->SetRate(tracker_.current().rate, timers_.Now());
   }
-  if (upstream->draining) {
+  if (tracker_.current().leaving) {
+    CloseGate("announced");
+  } else if (upstream->draining) {
     CloseGate("draining");
   } else if (!stopping_ && (restarted || gate_->leaving())) {
     OpenGate(upstream->cold_left > Millis(0));
@@ -115,12 +117,16 @@
 
 void GateServer::OnAnnouncement(const GateRun& run,
                                 const ResponseMetadata& metadata) {
-  // A response of another upstream at this address, or to a call for one that
-  // this node does not know yet, says nothing of the present one.
+  // Before it knows any list, this node takes the caller's word for whose
+  // response it is. Any other upstream than the known one, at this address or
+  // in a newer list, says nothing of that.
+  if (tracker_.current().upstream.empty() && !metadata.wrong_upstream) {
+    tracker_.SetUpstream(run.call.upstream, 0);
+  }
   bool own = !metadata.wrong_upstream &&
              run.call.upstream == tracker_.current().upstream;
-  if (own &&
-      tracker_.OnResponse(run.run->started, metadata.rate, timers_.Now())) {
+  if (own && tracker_.OnResponse(run.run->started, metadata.rate,
+                                 metadata.leaving, timers_.Now())) {
     ApplyAnnouncement("response");
   }
 }
@@ -128,12 +134,14 @@
 void GateServer::ApplyAnnouncement(const char* source) {
   const machines::Announcement& announced = tracker_.current();
   gate_->SetRate(announced.rate, timers_.Now());
-  log_.Write("upstream_rate", {{"upstream", announced.upstream},
-                               {"limited", announced.rate.has_value()},
-                               {"per_s", announced.rate.value_or(0)},
-                               {"source", source},
-                               {"in_progress", gate_->in_progress()},
-                               {"queued", gate_->queued()}});
+  if (announced.leaving) CloseGate("announced");
+  log_.Write("upstream_announces", {{"upstream", announced.upstream},
+                                    {"limited", announced.rate.has_value()},
+                                    {"per_s", announced.rate.value_or(0)},
+                                    {"leaving", announced.leaving},
+                                    {"source", source},
+                                    {"in_progress", gate_->in_progress()},
+                                    {"queued", gate_->queued()}});
 }
 
 void GateServer::CloseGate(const char* why) {
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -148,7 +148,7 @@
   http::Request UpstreamRequest(const GateRun& run, base::Millis left) const;
   void LogEnd(const GateRun& run, const peers::Answer& answer) const;
   // Stops accepting new requests because the upstream leaves. `why`, for the
-  // log: "draining", "not_listed" or "stopping".
+  // log: "draining", "not_listed", "announced" or "stopping".
   void OnAnnouncement(const GateRun& run, const ResponseMetadata& metadata);
   // Makes the gate keep what is announced. `source`, for the log: "response" or
   // "peer".
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -167,7 +167,9 @@
     entry.service = upstream->service;
     entry.zone = upstream->zone;
     entry.region = settings_.region;
-    entry.leaving = upstream->draining;
+    entry.leaving =
+        upstream->draining ||
+        dispatcher_.HasAnnouncedLeaving(upstream->id, upstream->started_at);
     entry.started_at = upstream->started_at;
     std::string ip = upstream->address.substr(0, upstream->address.rfind(':'));
     entry.link = ip + ":" + std::to_string(settings_.peer_port);
--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -38,6 +38,7 @@
   }
   metadata.sealed = response.headers.Find("Seal") != nullptr;
   metadata.not_run = response.headers.Find("Not-Run") != nullptr;
+  metadata.leaving = response.headers.Find("Leaving") != nullptr;
   if (const std::string* rate = response.headers.Find("Rate")) {
     metadata.rate = std::stod(*rate);
   }
@@ -269,6 +270,7 @@
     upstream.address = s.upstream;
     upstream.zone = s.zone;
     upstream.slots = 5;  // of which the gate uses four
+    upstream.started_at = 1;
     upstream.revision = 2;
     list.push_back(upstream);
   }
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -18,8 +18,8 @@
 
 namespace almondwind::sidecar::testing {
 
-// Uses the header fields Id, Patience, Upstream, From, Seal, Not-Run and
-// Rate.
+// Uses the header fields Id, Patience, Upstream, From, Seal, Not-Run,
+// Rate and Leaving.
 class TestDialect : public Dialect {
  public:
   CallerMetadata ReadCaller(const http::Headers& headers) const override;
