View: keep vanished upstreams for 0.4 s, so that the whole way stays in bound

Cause: a node of a refused reader's zone learned of the removal 1.1 s after it (upstream_state lines: bole-2 and bole-4 at 7.65 and 7.76 s, others up to 8.56 s; the gate of bole-3 closed at 9.60 s), and kept the entry for 1 s more. The way of a change may take 1.6 s by design, so a delay of 1 s does not fit in 2 s.

Change: the delay is 0.4 s, what the limit leaves. It only has to outlast the news of an outage, which comes with the report before the change. The view's test has the new times, on both sides to the millisecond where it had 100 ms.

--- a/almondwind/fleet/testing/view_test.cc
+++ b/almondwind/fleet/testing/view_test.cc
@@ -56,10 +56,10 @@
   View view({});
   view.Replace({Entry("a", 1)}, 2, Millis(1000));
   view.Remove("a", 3, Millis(1000));
-  BOOST_TEST(!view.Sweep(Millis(1900)));
+  BOOST_TEST(!view.Sweep(Millis(1399)));
   BOOST_TEST(view.upstreams().size() == 1U);
   BOOST_TEST(view.List().empty());  // not sent to peers
-  BOOST_TEST(view.Sweep(Millis(2001)));
+  BOOST_TEST(view.Sweep(Millis(1400)));
   BOOST_TEST(view.upstreams().empty());
 }
 
