--- a/almondwind/fleet/view.h
+++ b/almondwind/fleet/view.h
@@ -66,10 +66,10 @@
 struct ViewOptions {
   // How long an entry that was removed without draining is kept: normally, and
   // after an outage of the store, counted from the store's return. The normal
-  // delay is what the platform's drain limit of 2 s leaves after the longest way
-  // of a change to a node (1.6 s: a pause of its reader, the wait before other
-  // peers are asked, and a report). The delay after an outage exceeds the 2 s
-  // within which the platform restores expired entries.
+  // delay is what the platform's drain limit of 2 s leaves after the longest
+  // way of a change to a node (1.6 s: a pause of its reader, the wait before
+  // other peers are asked, and a report). The delay after an outage exceeds the
+  // 2 s within which the platform restores expired entries.
   base::Millis removal_delay{400};
   base::Millis recovery_removal_delay{2200};
 };
