Log the epoch of the store, and each list that is read

The present logs cannot tell the hypotheses of the restored store apart: a node writes its own revision only. No decision uses them yet.

--- a/almondwind/sidecar/documents.cc
+++ b/almondwind/sidecar/documents.cc
@@ -79,6 +79,19 @@
   if (std::exchange(news_, false)) events_.OnNews();
 }
 
+void Documents::OnEpoch(uint64_t epoch, uint64_t revision) {
+  log_.Write("store_epoch", {{"epoch", epoch},
+                             {"store_revision", revision},
+                             {"revision", view_.revision()}});
+}
+
+void Documents::OnListed(uint64_t epoch, uint64_t revision, bool stale) {
+  log_.Write("store_listed", {{"epoch", epoch},
+                              {"store_revision", revision},
+                              {"stale", stale},
+                              {"revision", view_.revision()}});
+}
+
 // Entries expire while the store is away, so those that it lacks on its return
 // are kept for a while. A node's own trouble with the store is no reason to: it
 // may answer the others, and then what it says of departures holds.
--- a/almondwind/sidecar/documents.h
+++ b/almondwind/sidecar/documents.h
@@ -81,6 +81,8 @@
   void OnUpstream(const fleet::Upstream& upstream) override;
   void OnUpstreamGone(const std::string& id, uint64_t revision) override;
   void OnRevision(uint64_t revision) override;
+  void OnEpoch(uint64_t epoch, uint64_t revision) override;
+  void OnListed(uint64_t epoch, uint64_t revision, bool stale) override;
   void OnAvailable(bool available, const std::string& why) override;
   void OnUnreadable(const std::string& key, const std::string& why) override;
 
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -76,6 +76,12 @@
   virtual void OnUpstreamGone(const std::string& id, uint64_t revision) = 0;
   // All changes up to `revision` have been delivered.
   virtual void OnRevision(uint64_t revision) = 0;
+  // The store has answered from another epoch than before: it was restored from
+  // an older copy, or this is its first answer. `revision` is the store's, 0 if
+  // the answer does not say it.
+  virtual void OnEpoch(uint64_t epoch, uint64_t revision) = 0;
+  // All items have been listed, as of `revision` of the store at the least.
+  virtual void OnListed(uint64_t epoch, uint64_t revision, bool stale) = 0;
   virtual void OnAvailable(bool available, const std::string& why) = 0;
   // An entry or document cannot be parsed. It is ignored.
   virtual void OnUnreadable(const std::string& key, const std::string& why) = 0;
