Order revisions of the store by its epoch first

Cause: a revision names a change only together with the history that it belongs to, but the client, the view, changes between peers and confirmations compared bare numbers. After the restoring the client kept asking for changes after a revision that the store did not have, listed without pause, and skipped what was written below the old number once the store had passed it; the view and all peers took the restored store's news for old ones.

Change: fleet::Revision holds epoch and number and is ordered by epoch first. Configurations stay ordered by the operators' version. The peers' protocol is version 8; a rollout goes zone by zone.

--- a/almondwind/fleet/changes_format.cc
+++ b/almondwind/fleet/changes_format.cc
@@ -14,9 +14,10 @@
 using Row = std::tuple<std::string, std::string, std::string, std::string, int,
                        bool, int64_t, int64_t, uint64_t>;
 using RemovalRow = std::tuple<std::string, uint64_t>;
-// The fields of Changes in wire order.
-using Wire =
-    std::tuple<uint64_t, uint64_t, std::vector<Row>, std::vector<RemovalRow>>;
+// The fields of Changes in wire order. All revisions are of the epoch at the
+// end, and written as their numbers.
+using Wire = std::tuple<uint64_t, uint64_t, std::vector<Row>,
+                        std::vector<RemovalRow>, uint64_t>;
 
 }  // namespace
 
@@ -25,16 +26,17 @@
   rows.reserve(changes.upstreams.size());
   for (const Upstream& u : changes.upstreams) {
     rows.emplace_back(u.id, u.service, u.address, u.zone, u.slots, u.draining,
-                      u.cold_left.count(), u.started_at, u.revision);
+                      u.cold_left.count(), u.started_at, u.revision.number);
   }
   std::vector<RemovalRow> removals;
   removals.reserve(changes.removals.size());
   for (const Removal& r : changes.removals) {
-    removals.emplace_back(r.id, r.revision);
+    removals.emplace_back(r.id, r.revision.number);
   }
   msgpack::sbuffer buffer;
-  msgpack::pack(buffer, Wire(changes.since, changes.revision, std::move(rows),
-                             std::move(removals)));
+  msgpack::pack(buffer, Wire(changes.since.number, changes.revision.number,
+                             std::move(rows), std::move(removals),
+                             changes.revision.epoch));
   return {buffer.data(), buffer.size()};
 }
 
@@ -42,20 +44,21 @@
   Changes out;
   try {
     msgpack::object_handle handle = msgpack::unpack(text.data(), text.size());
-    auto [since, revision, rows, removals] = handle.get().as<Wire>();
-    out.since = since;
-    out.revision = revision;
+    auto [since, revision, rows, removals, epoch] = handle.get().as<Wire>();
+    if (since != 0) out.since = {epoch, since};
+    out.revision = {epoch, revision};
     for (const Row& row : rows) {
       Upstream u;
       int64_t cold_ms = 0;
       std::tie(u.id, u.service, u.address, u.zone, u.slots, u.draining, cold_ms,
-               u.started_at, u.revision) = row;
+               u.started_at, u.revision.number) = row;
+      u.revision.epoch = epoch;
       u.cold_left = base::Millis(cold_ms);
       loop::ParseEndpoint(u.address);  // throws if malformed
       out.upstreams.push_back(std::move(u));
     }
     for (const RemovalRow& row : removals) {
-      out.removals.push_back({std::get<0>(row), std::get<1>(row)});
+      out.removals.push_back({std::get<0>(row), {epoch, std::get<1>(row)}});
     }
   } catch (const std::exception& e) {
     throw base::Error(
--- a/almondwind/fleet/view.cc
+++ b/almondwind/fleet/view.cc
@@ -15,10 +15,12 @@
          cold_left == o.cold_left;
 }
 
-bool View::Replace(const std::vector<Upstream>& upstreams, uint64_t revision,
-                   Millis now) {
-  if (revision <= revision_ && revision_ != 0) return false;
-  if (revision_ == 0) removals_complete_from_ = revision;
+bool View::Replace(const std::vector<Upstream>& upstreams,
+                   const Revision& revision, Millis now) {
+  if (revision <= revision_ && revision_.known()) return false;
+  if (revision.epoch != revision_.epoch || !revision_.known()) {
+    removals_complete_from_ = revision;
+  }
   bool changed = false;
   std::set<std::string> present;
   for (const Upstream& upstream : upstreams) {
@@ -47,7 +49,7 @@
   return changed;
 }
 
-bool View::Remove(const std::string& id, uint64_t revision, Millis now) {
+bool View::Remove(const std::string& id, const Revision& revision, Millis now) {
   auto it = upstreams_.find(id);
   if (it == upstreams_.end()) return false;
   if (revision < it->second.revision) return false;
@@ -57,7 +59,7 @@
   return true;
 }
 
-void View::RecordRemoval(const std::string& id, uint64_t revision) {
+void View::RecordRemoval(const std::string& id, const Revision& revision) {
   removals_.push_back({id, revision});
   if (removals_.size() <= kMaxRemovals) return;
   removals_complete_from_ =
@@ -76,7 +78,7 @@
   pending_removals_[id] = std::max(due, recovering_until_);
 }
 
-void View::Advance(uint64_t revision) {
+void View::Advance(const Revision& revision) {
   revision_ = std::max(revision_, revision);
 }
 
@@ -143,10 +145,11 @@
   return out;
 }
 
-Changes View::ChangesSince(uint64_t revision) const {
+Changes View::ChangesSince(const Revision& revision) const {
   Changes changes;
   changes.revision = revision_;
-  if (revision == 0 || revision < removals_complete_from_) {
+  if (revision.epoch != revision_.epoch || !revision.known() ||
+      revision < removals_complete_from_) {
     changes.upstreams = List();
     return changes;
   }
@@ -163,11 +166,13 @@
 }
 
 bool View::Apply(const Changes& changes, Millis now) {
-  if (changes.revision <= revision_ && revision_ != 0) return false;
-  if (changes.since == 0) {
+  if (changes.revision <= revision_ && revision_.known()) return false;
+  if (!changes.since.known()) {
     return Replace(changes.upstreams, changes.revision, now);
   }
-  if (changes.since > revision_) return false;
+  if (changes.since.epoch != revision_.epoch || changes.since > revision_) {
+    return false;
+  }
   bool changed = false;
   for (const Upstream& upstream : changes.upstreams) {
     // What this view has up to its revision may include a later removal.
--- a/almondwind/fleet/view.h
+++ b/almondwind/fleet/view.h
@@ -2,7 +2,8 @@
 //
 // The platform's store supplies a complete list or single changes; a peer with
 // a newer view supplies a complete list. Each list and change carries the
-// store's revision, and an older one never replaces a newer one.
+// store's revision, and an older one never replaces a newer one. After the
+// store was restored, a complete list is needed before changes can be applied.
 //
 // Peers exchange Changes: what happened after a revision that the receiver has.
 // The removals of the past are kept for that, at most View::kMaxRemovals; for
@@ -30,6 +31,7 @@
 #include <vector>
 
 #include "almondwind/base/clock.h"
+#include "almondwind/fleet/revision.h"
 
 namespace almondwind::fleet {
 
@@ -43,7 +45,7 @@
   bool draining = false;
   base::Millis cold_left{0};  // remaining warm-up time after a start
   int64_t started_at = 0;     // Unix time in ms; distinguishes incarnations
-  uint64_t revision = 0;      // store revision of the entry's last change
+  Revision revision;          // of the entry's last change
 
   // Returns whether all fields but the revision are equal.
   bool EqualsIgnoringRevision(const Upstream& o) const;
@@ -52,13 +54,13 @@
 // An upstream whose entry was removed from the store.
 struct Removal {
   std::string id;
-  uint64_t revision = 0;  // store revision of the removal
+  Revision revision;  // of the removal
 };
 
 // What a peer needs to bring its view from revision `since` to `revision`.
 struct Changes {
-  uint64_t since = 0;  // 0: `upstreams` is the complete list
-  uint64_t revision = 0;
+  Revision since;  // not known: `upstreams` is the complete list
+  Revision revision;
   std::vector<Upstream> upstreams;
   std::vector<Removal> removals;
 };
@@ -81,7 +83,7 @@
   // Replaces the view by the complete list at `revision`, unless the view is as
   // new already. Entries that are newer than `revision` are kept. Returns
   // whether anything changed.
-  bool Replace(const std::vector<Upstream>& upstreams, uint64_t revision,
+  bool Replace(const std::vector<Upstream>& upstreams, const Revision& revision,
                base::Millis now);
   // Adds or updates one upstream, unless the known entry is newer. Returns
   // whether anything but the revision changed.
@@ -89,9 +91,10 @@
   // Handles the removal of an entry from the store: removes a draining upstream
   // immediately, any other after the removal delay. Returns false if the entry
   // is unknown or newer.
-  bool Remove(const std::string& id, uint64_t revision, base::Millis now);
+  bool Remove(const std::string& id, const Revision& revision,
+              base::Millis now);
   // Records that all changes up to `revision` have been applied.
-  void Advance(uint64_t revision);
+  void Advance(const Revision& revision);
   // Records that the store was unavailable until `at`: entries that it lacks
   // are kept for the longer delay from then on.
   void OnStoreReturned(base::Millis at);
@@ -117,27 +120,28 @@
   }
   // Returns the upstreams whose removal is not pending.
   std::vector<Upstream> List() const;
-  // Returns what a peer whose view is complete up to `revision` lacks.
-  Changes ChangesSince(uint64_t revision) const;
+  // Returns what a peer whose view is complete up to `revision` lacks: the
+  // complete list if `revision` is of another epoch.
+  Changes ChangesSince(const Revision& revision) const;
   // Applies a peer's changes, unless the view is as new already or lacks what
   // happened before them. Returns whether anything changed.
   bool Apply(const Changes& changes, base::Millis now);
-  // Store revision up to which the view is complete; 0 if nothing is known.
-  uint64_t revision() const { return revision_; }
+  // Store revision up to which the view is complete.
+  const Revision& revision() const { return revision_; }
 
  private:
   static constexpr size_t kMaxRemovals = 512;
 
   void ScheduleRemoval(const std::string& id, base::Millis now);
-  void RecordRemoval(const std::string& id, uint64_t revision);
+  void RecordRemoval(const std::string& id, const Revision& revision);
 
   const ViewOptions options_;
   std::map<std::string, Upstream> upstreams_;
   std::map<std::string, base::Millis> pending_removals_;  // due time, by id
-  uint64_t revision_ = 0;
+  Revision revision_;
   // Removals after removals_complete_from_, in the order in which they came.
   std::deque<Removal> removals_;
-  uint64_t removals_complete_from_ = 0;
+  Revision removals_complete_from_;
   base::Millis recovering_until_{0};
 };
 
--- a/almondwind/peers/frames.cc
+++ b/almondwind/peers/frames.cc
@@ -72,14 +72,18 @@
     m.leaving);
 }
 template <typename F>
+void VisitFields(F& f, fleet::Revision& m) {
+  f(m.epoch, m.number);
+}
+template <typename F>
 void VisitFields(F& f, machines::Announcement& m) {
   f(m.upstream, m.started_at, m.first_hand, m.rate, m.leaving);
 }
 template <typename F>
 void VisitFields(F& f, State& m) {
   f(m.config_version, m.fleet_revision, m.confirmed_revision,
-    m.confirmed_age_ms, m.can_read_store, m.leaving, m.service, m.load,
-    m.announcement, m.detailed, m.demand, m.costs);
+    m.confirmed_age_ms, m.epoch_age_ms, m.can_read_store, m.leaving, m.service,
+    m.load, m.announcement, m.detailed, m.demand, m.costs);
 }
 template <typename F>
 void VisitFields(F& f, Call& m) {
@@ -141,7 +145,8 @@
   void PackField(T& field) {
     if constexpr (std::is_same_v<T, http::Headers>) {
       WireHeaders{field, names}.Pack(out);
-    } else if constexpr (std::is_same_v<T, links::Load>) {
+    } else if constexpr (std::is_same_v<T, links::Load> ||
+                         std::is_same_v<T, fleet::Revision>) {
       VisitFields(*this, field);
     } else if constexpr (std::is_same_v<T, machines::Announcement>) {
       if (field.upstream.empty()) {
@@ -195,7 +200,8 @@
   void UnpackField(const msgpack::object& object, T& field) {
     if constexpr (std::is_same_v<T, http::Headers>) {
       WireHeaders{field, names}.Unpack(object);
-    } else if constexpr (std::is_same_v<T, links::Load>) {
+    } else if constexpr (std::is_same_v<T, links::Load> ||
+                         std::is_same_v<T, fleet::Revision>) {
       FieldUnpacker inner{object, names};
       VisitFields(inner, field);
     } else if constexpr (std::is_same_v<T, machines::Announcement>) {
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -21,6 +21,7 @@
 #include <variant>
 #include <vector>
 
+#include "almondwind/fleet/revision.h"
 #include "almondwind/http/message.h"
 #include "almondwind/links/message.h"
 #include "almondwind/machines/announcement.h"
@@ -29,7 +30,7 @@
 
 // Incremented whenever a field changes meaning; a peer with another version is
 // refused at Hello.
-constexpr uint32_t kProtocolVersion = 7;
+constexpr uint32_t kProtocolVersion = 8;
 
 enum class FrameType : uint8_t {
   kHello,
@@ -76,11 +77,14 @@
 // serves as the link's keep-alive.
 struct State {
   uint64_t config_version = 0;
-  uint64_t fleet_revision = 0;
+  fleet::Revision fleet_revision;
   // The sender had everything up to this revision of the store when the store
-  // was at it, which is confirmed_age_ms ago; 0: nothing yet.
-  uint64_t confirmed_revision = 0;
+  // was at it, which is confirmed_age_ms ago.
+  fleet::Revision confirmed_revision;
   uint32_t confirmed_age_ms = 0;
+  // Time since the store first answered in the epoch of fleet_revision, as far
+  // as the sender has heard.
+  uint32_t epoch_age_ms = 0;
   bool can_read_store = true;
   bool leaving = false;
   std::string service;  // of the sender's upstream
@@ -156,15 +160,20 @@
 
 enum class DocumentKind : uint8_t { kConfig, kFleet };
 
+// The version of a document: of the list of upstreams the store's revision, of
+// the configuration the number that the operators gave it, with epoch 0. That
+// number never goes back, also if the store is restored.
+using DocumentVersion = fleet::Revision;
+
 // Requests a document if the receiver has one newer than `known_version`.
 struct DocumentRequest {
   uint8_t kind = 0;  // DocumentKind
-  uint64_t known_version = 0;
+  DocumentVersion known_version;
 };
 
 struct Document {
   uint8_t kind = 0;  // DocumentKind
-  uint64_t version = 0;
+  DocumentVersion version;
   std::string text;
 };
 
--- a/almondwind/peers/testing/frames_test.cc
+++ b/almondwind/peers/testing/frames_test.cc
@@ -35,6 +35,9 @@
   answer.body = std::string(1000, 'z');
   State state;
   state.config_version = 9;
+  state.fleet_revision = {2, 12};
+  state.confirmed_revision = {2, 11};
+  state.epoch_age_ms = 1500;
   state.service = "catalogue";
   state.load.limit = 80;
   state.demand = {{"browse", 12.5, 100, 30}};
@@ -48,8 +51,8 @@
           call,
           Cancel{7},
           answer,
-          DocumentRequest{1, 4},
-          Document{0, 8, "text"},
+          DocumentRequest{1, {2, 4}},
+          Document{0, {0, 8}, "text"},
           large_call,
           large_answer,
           BodyPart{7, true, 1, "part"},
--- a/almondwind/sidecar/documents.cc
+++ b/almondwind/sidecar/documents.cc
@@ -37,7 +37,8 @@
     log_.Write("store_watch",
                {{"mode", base::NameOf(fleet::kWatchModeNames, mode)},
                 {"before", base::NameOf(fleet::kWatchModeNames, mode_)},
-                {"revision", complete_revision_},
+                {"revision", complete_revision_.number},
+                {"epoch", complete_revision_.epoch},
                 {"confirmed_ms_ago",
                  (timers_.Now() - election_.confirmed_at()).count()}});
     // A node that does not read the store does not know whether it could. Peers
@@ -55,7 +56,9 @@
 }
 
 void Documents::OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
-                            uint64_t revision) {
+                            const fleet::Revision& revision) {
+  // Peers must learn of a new epoch now: what they have is of the last one.
+  news_ = news_ || revision.epoch != view_.revision().epoch;
   if (view_.Replace(upstreams, revision, timers_.Now())) {
     OnViewChanged("store");
   }
@@ -66,12 +69,13 @@
   if (view_.Put(upstream)) OnViewChanged("store");
 }
 
-void Documents::OnUpstreamGone(const std::string& id, uint64_t revision) {
+void Documents::OnUpstreamGone(const std::string& id,
+                               const fleet::Revision& revision) {
   news_ = true;
   if (view_.Remove(id, revision, timers_.Now())) OnViewChanged("store");
 }
 
-void Documents::OnRevision(uint64_t revision) {
+void Documents::OnRevision(const fleet::Revision& revision) {
   view_.Advance(revision);
   complete_revision_ = std::max(complete_revision_, revision);
   OnStoreAnswered(timers_.Now());
@@ -79,17 +83,37 @@
   if (std::exchange(news_, false)) events_.OnNews();
 }
 
-void Documents::OnEpoch(uint64_t epoch, uint64_t revision) {
-  log_.Write("store_epoch", {{"epoch", epoch},
-                             {"store_revision", revision},
-                             {"revision", view_.revision()}});
+void Documents::OnEpoch(const fleet::Revision& revision) {
+  log_.Write("store_epoch", {{"epoch", revision.epoch},
+                             {"store_revision", revision.number},
+                             {"before", view_.revision().epoch},
+                             {"revision", view_.revision().number}});
+  OnEpochSeen(revision.epoch, timers_.Now(), "store");
 }
 
-void Documents::OnListed(uint64_t epoch, uint64_t revision, bool stale) {
-  log_.Write("store_listed", {{"epoch", epoch},
-                              {"store_revision", revision},
+void Documents::OnListed(const fleet::Revision& revision, bool stale) {
+  log_.Write("store_listed", {{"epoch", revision.epoch},
+                              {"store_revision", revision.number},
                               {"stale", stale},
-                              {"revision", view_.revision()}});
+                              {"revision", view_.revision().number}});
+}
+
+// Upstreams whose entries the restored store has lost write them again soon, as
+// after an outage.
+void Documents::OnEpochSeen(uint64_t epoch, Millis at, const char* source) {
+  if (epoch < epoch_) return;
+  if (epoch == epoch_) {
+    epoch_since_ = std::min(epoch_since_, at);
+    return;
+  }
+  uint64_t before = std::exchange(epoch_, epoch);
+  epoch_since_ = at;
+  if (before == 0) return;
+  view_.OnStoreReturned(at);
+  log_.Write("store_restored", {{"epoch", epoch},
+                                {"before", before},
+                                {"source", source},
+                                {"ms_ago", (timers_.Now() - at).count()}});
 }
 
 // Entries expire while the store is away, so those that it lacks on its return
@@ -108,7 +132,9 @@
 void Documents::OnAvailable(bool available, const std::string& why) {
   election_.SetCanRead(available);
   log_.Write(available ? "store_back" : "store_lost",
-             {{"why", why}, {"revision", view_.revision()}});
+             {{"why", why},
+              {"revision", view_.revision().number},
+              {"epoch", view_.revision().epoch}});
 }
 
 void Documents::OnUnreadable(const std::string& key, const std::string& why) {
@@ -147,7 +173,8 @@
   events_.OnFleet();
   LogUpstreamStates(source);
   ScheduleSweep();
-  log_.Write("fleet", {{"revision", view_.revision()},
+  log_.Write("fleet", {{"revision", view_.revision().number},
+                       {"epoch", view_.revision().epoch},
                        {"upstreams", view_.upstreams().size()}});
 }
 
@@ -175,7 +202,7 @@
                   {"service", upstream.service},
                   {"state", base::NameOf(kUpstreamStateNames, state)},
                   {"before", base::NameOf(kUpstreamStateNames, before)},
-                  {"revision", upstream.revision},
+                  {"revision", upstream.revision.number},
                   {"source", source},
                   {"next_removal_in_ms", view_.UntilSweep(now).count()}});
     }
@@ -186,7 +213,7 @@
                   {"state",
                    base::NameOf(kUpstreamStateNames, UpstreamState::kUnknown)},
                   {"before", base::NameOf(kUpstreamStateNames, before)},
-                  {"revision", view_.revision()},
+                  {"revision", view_.revision().number},
                   {"source", source}});
     }
   }
@@ -213,6 +240,9 @@
   Millis age = timers_.Now() - election_.confirmed_at();
   state.confirmed_age_ms =
       static_cast<uint32_t>(std::clamp<int64_t>(age.count(), 0, UINT32_MAX));
+  Millis epoch_age = timers_.Now() - epoch_since_;
+  state.epoch_age_ms = static_cast<uint32_t>(
+      std::clamp<int64_t>(epoch_age.count(), 0, UINT32_MAX));
   state.can_read_store = election_.can_read();
 }
 
@@ -220,17 +250,21 @@
   if (link.zone() == options_.zone) {
     election_.SetPeer(link.peer(), state.can_read_store && !state.leaving);
   }
-  if (state.confirmed_revision != 0) {
+  if (state.confirmed_revision.known()) {
     OnStoreAnswered(timers_.Now() - Millis(state.confirmed_age_ms));
   }
+  if (state.fleet_revision.known()) {
+    OnEpochSeen(state.fleet_revision.epoch,
+                timers_.Now() - Millis(state.epoch_age_ms), "peer");
+  }
   using Kind = peers::DocumentKind;
-  RequestIfBehind(link, Kind::kConfig, newer_config_, state.config_version,
-                  config_version());
+  RequestIfBehind(link, Kind::kConfig, newer_config_, {0, state.config_version},
+                  ConfigDocumentVersion());
   RequestIfBehind(link, Kind::kFleet, newer_fleet_, state.fleet_revision,
                   view_.revision());
   bool has_all = state.config_version <= config_version() &&
                  state.confirmed_revision <= view_.revision();
-  if (state.confirmed_revision == 0 || !has_all) return;
+  if (!state.confirmed_revision.known() || !has_all) return;
   complete_revision_ = std::max(complete_revision_, state.confirmed_revision);
   election_.OnConfirmed(timers_.Now() - Millis(state.confirmed_age_ms));
 }
@@ -245,15 +279,16 @@
 // became newer than this node's. A node without any version asks whoever has
 // one.
 void Documents::RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
-                                NewerVersion& newer, uint64_t theirs,
-                                uint64_t ours) {
+                                NewerVersion& newer,
+                                const peers::DocumentVersion& theirs,
+                                const peers::DocumentVersion& ours) {
   Millis now = timers_.Now();
   if (newer.newest <= ours) newer.since = Millis(0);
   newer.newest = std::max(newer.newest, theirs);
   if (theirs <= ours) return;
   if (newer.since == Millis(0)) newer.since = now;
   bool reads_store = mode_ != WatchMode::kNone;
-  bool wait = ours != 0 && (reads_store || link.zone() != options_.zone);
+  bool wait = ours.known() && (reads_store || link.zone() != options_.zone);
   if (wait && now - newer.since < options_.behind_delay) return;
   if (now - newer.requested_at < options_.request_interval) return;
   newer.requested_at = now;
@@ -265,8 +300,8 @@
   peers::Document document;
   document.kind = request.kind;
   if (request.kind == static_cast<uint8_t>(peers::DocumentKind::kConfig)) {
-    if (table_ == nullptr || table_->version() <= request.known_version) return;
-    document.version = table_->version();
+    document.version = ConfigDocumentVersion();
+    if (document.version <= request.known_version) return;
     document.text = config_document_;
   } else {
     if (view_.revision() <= request.known_version) return;
--- a/almondwind/sidecar/documents.h
+++ b/almondwind/sidecar/documents.h
@@ -77,12 +77,13 @@
 
   void OnConfig(const std::string& document) override;
   void OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
-                   uint64_t revision) override;
+                   const fleet::Revision& revision) override;
   void OnUpstream(const fleet::Upstream& upstream) override;
-  void OnUpstreamGone(const std::string& id, uint64_t revision) override;
-  void OnRevision(uint64_t revision) override;
-  void OnEpoch(uint64_t epoch, uint64_t revision) override;
-  void OnListed(uint64_t epoch, uint64_t revision, bool stale) override;
+  void OnUpstreamGone(const std::string& id,
+                      const fleet::Revision& revision) override;
+  void OnRevision(const fleet::Revision& revision) override;
+  void OnEpoch(const fleet::Revision& revision) override;
+  void OnListed(const fleet::Revision& revision, bool stale) override;
   void OnAvailable(bool available, const std::string& why) override;
   void OnUnreadable(const std::string& key, const std::string& why) override;
 
@@ -90,7 +91,7 @@
   // The newest version of a document that any peer has reported, for fetching
   // it while this node's own is older.
   struct NewerVersion {
-    uint64_t newest = 0;
+    peers::DocumentVersion newest;
     base::Millis since{0};
     base::Millis requested_at{0};
   };
@@ -107,6 +108,11 @@
 
   // The store answered this node or a peer at time `at`.
   void OnStoreAnswered(base::Millis at);
+  // The store answered this node or a peer in `epoch` at time `at`.
+  void OnEpochSeen(uint64_t epoch, base::Millis at, const char* source);
+  peers::DocumentVersion ConfigDocumentVersion() const {
+    return {0, config_version()};
+  }
   bool ApplyConfig(const std::string& document, const std::string& source);
   // `source` of the change, for the log: "store", "peer" or "sweep".
   void OnViewChanged(const char* source);
@@ -115,7 +121,9 @@
   void ScheduleSweep();
   void SweepView();
   void RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
-                       NewerVersion& newer, uint64_t theirs, uint64_t ours);
+                       NewerVersion& newer,
+                       const peers::DocumentVersion& theirs,
+                       const peers::DocumentVersion& ours);
 
   loop::Timers& timers_;
   const DocumentsOptions options_;
@@ -131,7 +139,11 @@
   routes::RouteTablePtr table_;
   std::string config_document_;
   // Revision of the store up to which both documents are complete.
-  uint64_t complete_revision_ = 0;
+  fleet::Revision complete_revision_;
+  // Newest epoch of the store, and the time of its first answer in it, as far
+  // as this node and its peers know; 0 before the first answer.
+  uint64_t epoch_ = 0;
+  base::Millis epoch_since_{0};
   bool news_ = false;  // changes from the store have not been told to peers
   NewerVersion newer_config_;
   NewerVersion newer_fleet_;
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -13,6 +13,7 @@
 
 #include "almondwind/base/clock.h"
 #include "almondwind/fleet/reader_election.h"
+#include "almondwind/fleet/revision.h"
 #include "almondwind/fleet/view.h"
 #include "almondwind/http/message.h"
 #include "almondwind/routes/retry_budget.h"
@@ -64,24 +65,26 @@
   virtual std::vector<std::string> CommonNames() const = 0;
 };
 
-// Receives what the platform publishes. Revisions only increase.
+// Receives what the platform publishes. Revisions only increase; a new epoch
+// begins with a complete list.
 class FeedEvents {
  public:
   virtual ~FeedEvents() = default;
   // The operators' configuration, as the published document.
   virtual void OnConfig(const std::string& document) = 0;
   virtual void OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
-                           uint64_t revision) = 0;
+                           const fleet::Revision& revision) = 0;
   virtual void OnUpstream(const fleet::Upstream& upstream) = 0;
-  virtual void OnUpstreamGone(const std::string& id, uint64_t revision) = 0;
+  virtual void OnUpstreamGone(const std::string& id,
+                              const fleet::Revision& revision) = 0;
   // All changes up to `revision` have been delivered.
-  virtual void OnRevision(uint64_t revision) = 0;
+  virtual void OnRevision(const fleet::Revision& revision) = 0;
   // The store has answered from another epoch than before: it was restored from
-  // an older copy, or this is its first answer. `revision` is the store's, 0 if
-  // the answer does not say it.
-  virtual void OnEpoch(uint64_t epoch, uint64_t revision) = 0;
+  // an older copy, or this is its first answer. The number of `revision` is 0
+  // if the answer does not say it.
+  virtual void OnEpoch(const fleet::Revision& revision) = 0;
   // All items have been listed, as of `revision` of the store at the least.
-  virtual void OnListed(uint64_t epoch, uint64_t revision, bool stale) = 0;
+  virtual void OnListed(const fleet::Revision& revision, bool stale) = 0;
   virtual void OnAvailable(bool available, const std::string& why) = 0;
   // An entry or document cannot be parsed. It is ignored.
   virtual void OnUnreadable(const std::string& key, const std::string& why) = 0;
@@ -95,9 +98,10 @@
   virtual void Start(FeedEvents& events) = 0;
   // Sets how changes are followed from now on. `revision` is the store's
   // revision up to which the caller is complete, by this feed or by other
-  // sources. If it is above 0 and `mode` is kNone, a list that is still being
+  // sources. If it is known and `mode` is kNone, a list that is still being
   // read is abandoned.
-  virtual void Watch(fleet::WatchMode mode, uint64_t revision) = 0;
+  virtual void Watch(fleet::WatchMode mode,
+                     const fleet::Revision& revision) = 0;
   virtual void Stop() = 0;
 };
 
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -130,7 +130,7 @@
 
 bool Node::ready() const {
   if (stopping_ || documents_.table() == nullptr) return false;
-  if (documents_.view().revision() == 0) return false;
+  if (!documents_.view().revision().known()) return false;
   if (timers_.Now() - started_ > kLinkUpTimeout) return true;
   std::set<std::string> peers;
   for (const auto& [name, machine] : dispatcher_.directory().machines()) {
--- a/almondwind/sidecar/testing/announcements_test.cc
+++ b/almondwind/sidecar/testing/announcements_test.cc
@@ -101,10 +101,10 @@
   world.upstreams[0]->script = {{Stating("Rate: 1\r\n"), false, 0}};
   fleet::Upstream draining = world.List()[1];
   draining.draining = true;
-  draining.revision = 3;
+  draining.revision = {1, 3};
   fleet::Upstream wide = world.List()[0];
   wide.slots = 200;
-  wide.revision = 4;
+  wide.revision = {1, 4};
   for (const auto& feed : world.feeds) {
     feed->events->OnUpstream(draining);
     feed->events->OnUpstream(wide);
--- a/almondwind/sidecar/testing/departures_test.cc
+++ b/almondwind/sidecar/testing/departures_test.cc
@@ -36,7 +36,7 @@
   }
   FeedEvents& feed(size_t i) { return *feeds[i]->events; }
   // The store answers node `i` that nothing has changed.
-  void Confirm(size_t i) { feed(i).OnRevision(2); }
+  void Confirm(size_t i) { feed(i).OnRevision({1, 2}); }
   // Runs for `span`, in which the store answers the other reader only.
   void RunConfirmed(Millis span) {
     for (Millis end = clock.Now() + span; clock.Now() < end;) {
@@ -48,8 +48,8 @@
   // The store reports to node `i` that the entry of the leaving upstream was
   // removed.
   void Remove(size_t i) {
-    feed(i).OnUpstreamGone(leaving(), 3);
-    feed(i).OnRevision(3);
+    feed(i).OnUpstreamGone(leaving(), {1, 3});
+    feed(i).OnRevision({1, 3});
   }
   // Returns whether the leaving upstream gets any of `count` requests.
   bool LeavingIsUsed(int count = 30) {
@@ -118,9 +118,9 @@
   zone.Run(Millis(2500));
   for (size_t i : {0, 1, 2}) {
     zone.feed(i).OnAvailable(false, "connection lost");
-    zone.feed(i).OnUpstreamGone(zone.leaving(), 3);
+    zone.feed(i).OnUpstreamGone(zone.leaving(), {1, 3});
     zone.feed(i).OnAvailable(true, "watch answered");
-    zone.feed(i).OnRevision(3);
+    zone.feed(i).OnRevision({1, 3});
   }
   zone.Run(Millis(2400));
   BOOST_TEST(!zone.LeavingIsUsed());
--- a/almondwind/sidecar/testing/faults_test.cc
+++ b/almondwind/sidecar/testing/faults_test.cc
@@ -41,7 +41,7 @@
   void DrainOwnUpstream() {
     fleet::Upstream leaving = List()[0];
     leaving.draining = true;
-    leaving.revision = 3;
+    leaving.revision = {1, 3};
     feeds[0]->events->OnUpstream(leaving);
   }
   nlohmann::json Explain(int port) {
--- a/almondwind/sidecar/testing/leaving_test.cc
+++ b/almondwind/sidecar/testing/leaving_test.cc
@@ -57,7 +57,7 @@
   BOOST_TEST(world.RunsOfLeaving({0, 1, 2}) > 0U);
   // Lists that were made before it left, and changes of other upstreams.
   fleet::Upstream cold = world.List()[0];
-  cold.revision = 3;
+  cold.revision = {1, 3};
   cold.cold_left = Millis(100);
   for (const auto& feed : world.feeds) feed->events->OnUpstream(cold);
   BOOST_TEST(world.RunsOfLeaving({0, 1, 2}) == 0U);
@@ -76,15 +76,15 @@
   BOOST_TEST(world.RunsOfLeaving({1, 2}) == 0U);
   // An entry that vanishes and is back does not bring it back either.
   for (const auto& feed : world.feeds) {
-    feed->events->OnUpstreamGone("u0", 4);
-    feed->events->OnRevision(4);
+    feed->events->OnUpstreamGone("u0", {1, 4});
+    feed->events->OnRevision({1, 4});
   }
   world.Run(Millis(1200));
   fleet::Upstream back = world.List()[0];
-  back.revision = 5;
+  back.revision = {1, 5};
   for (const auto& feed : world.feeds) {
     feed->events->OnUpstream(back);
-    feed->events->OnRevision(5);
+    feed->events->OnRevision({1, 5});
   }
   BOOST_TEST(world.RunsOfLeaving({1, 2}) == 0U);
 }
@@ -96,7 +96,7 @@
   world.RunsOfLeaving({0, 1, 2});
   world.upstreams[0]->script = world.upstreams[1]->script;
   fleet::Upstream restarted = world.List()[0];
-  restarted.revision = 6;
+  restarted.revision = {1, 6};
   restarted.started_at = 77;
   for (const auto& feed : world.feeds) feed->events->OnUpstream(restarted);
   world.Run(Millis(700));
--- a/almondwind/sidecar/testing/path_test.cc
+++ b/almondwind/sidecar/testing/path_test.cc
@@ -275,7 +275,7 @@
   BOOST_TEST(world.Until([&] { return world.nodes[0]->peers_up() == 1; }));
   fleet::Upstream leaving = world.List()[0];
   leaving.draining = true;
-  leaving.revision = 3;
+  leaving.revision = {1, 3};
   // Only the draining upstream's own node gets the new entry.
   world.feeds[0]->events->OnUpstream(leaving);
   auto caller = world.Call(1);
--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -271,7 +271,7 @@
     upstream.zone = s.zone;
     upstream.slots = 5;  // of which the gate uses four
     upstream.started_at = 1;
-    upstream.revision = 2;
+    upstream.revision = {1, 2};
     list.push_back(upstream);
   }
   return list;
@@ -280,7 +280,7 @@
 void World::Publish(int i, const std::string& document) {
   FeedEvents* events = feeds[static_cast<size_t>(i)]->events;
   events->OnConfig(document);
-  events->OnUpstreams(List(), 2);
+  events->OnUpstreams(List(), {1, 2});
 }
 
 std::string World::callers(int i) const {
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -42,7 +42,9 @@
 class TestFeed : public Feed {
  public:
   void Start(FeedEvents& events) override { this->events = &events; }
-  void Watch(fleet::WatchMode mode, uint64_t) override { this->mode = mode; }
+  void Watch(fleet::WatchMode mode, const fleet::Revision&) override {
+    this->mode = mode;
+  }
   void Stop() override { events = nullptr; }
   FeedEvents* events = nullptr;
   fleet::WatchMode mode = fleet::WatchMode::kShort;
