Remember departures that a restored store has lost

Callers would see: requests to upstreams that have announced their leaving or have left, for as long as a restored store lists them as it did before.

Cause: a view takes the first list of an epoch for the newest state, but that list is a copy from before. Only an upstream's own count of heartbeats orders what it says of itself across a restoring.

Change: entries carry the upstream's heartbeat count, also between peers. In the first list of an epoch, an entry that is no newer than a departure that the view knows counts as draining (state "doubted" in the logs), until the upstream writes again or until its entry would have lapsed. Peers get the entry as the store lists it and judge by what they remember themselves.

--- a/almondwind/fleet/changes_format.cc
+++ b/almondwind/fleet/changes_format.cc
@@ -12,7 +12,7 @@
 
 // The fields of an Upstream in wire order.
 using Row = std::tuple<std::string, std::string, std::string, std::string, int,
-                       bool, int64_t, int64_t, uint64_t>;
+                       bool, int64_t, int64_t, uint64_t, uint64_t>;
 using RemovalRow = std::tuple<std::string, uint64_t>;
 // The fields of Changes in wire order. All revisions are of the epoch at the
 // end, and written as their numbers.
@@ -25,8 +25,11 @@
   std::vector<Row> rows;
   rows.reserve(changes.upstreams.size());
   for (const Upstream& u : changes.upstreams) {
-    rows.emplace_back(u.id, u.service, u.address, u.zone, u.slots, u.draining,
-                      u.cold_left.count(), u.started_at, u.revision.number);
+    // A doubt is this node's own; the receiver remembers departures itself.
+    bool draining = u.draining && !u.doubted;
+    rows.emplace_back(u.id, u.service, u.address, u.zone, u.slots, draining,
+                      u.cold_left.count(), u.started_at, u.revision.number,
+                      u.heartbeats);
   }
   std::vector<RemovalRow> removals;
   removals.reserve(changes.removals.size());
@@ -51,7 +54,7 @@
       Upstream u;
       int64_t cold_ms = 0;
       std::tie(u.id, u.service, u.address, u.zone, u.slots, u.draining, cold_ms,
-               u.started_at, u.revision.number) = row;
+               u.started_at, u.revision.number, u.heartbeats) = row;
       u.revision.epoch = epoch;
       u.cold_left = base::Millis(cold_ms);
       loop::ParseEndpoint(u.address);  // throws if malformed
--- a/almondwind/fleet/testing/view_test.cc
+++ b/almondwind/fleet/testing/view_test.cc
@@ -285,6 +285,56 @@
   }
 }
 
+// Failure: after the store was restored, upstreams that had left were used
+// again.
+BOOST_AUTO_TEST_CASE(a_restored_list_does_not_undo_departures) {
+  struct Row {
+    const char* what;
+    bool removed;          // or announced as draining
+    uint64_t heartbeats;   // in the restored list; the departure came at 5
+    int64_t restarted_ms;  // start of the listed incarnation after the known
+    bool used;
+  };
+  const Row rows[] = {
+      {"copy from before the announcement", false, 4, 0, false},
+      {"copy as old as the announcement", false, 5, 0, false},
+      {"ready again since", false, 6, 0, true},
+      {"another incarnation", false, 1, 1, true},
+      {"copy from before the removal", true, 4, 0, false},
+      {"written again since the removal", true, 6, 0, true},
+      {"another incarnation after the removal", true, 1, 1, true},
+  };
+  for (const Row& row : rows) {
+    View view({});
+    Upstream entry = Entry("a", 5);
+    entry.heartbeats = 5;
+    entry.draining = true;
+    view.Replace({entry, Entry("b", 1)}, At(6), Millis(1000));
+    if (row.removed) view.Remove("a", At(7), Millis(1000));
+    entry.draining = false;
+    entry.heartbeats = row.heartbeats;
+    entry.started_at += row.restarted_ms;
+    entry.revision = {2, 3};
+    Upstream other = Entry("b", 1);
+    other.revision = {2, 1};
+    view.Replace({entry, other}, {2, 4}, Millis(2000));
+    BOOST_TEST(!view.upstreams().at("b").draining, row.what);
+    BOOST_TEST(view.upstreams().at("a").draining == !row.used, row.what);
+    // Peers get what the store lists.
+    for (const Upstream& sent :
+         DecodeChanges(EncodeChanges(view.ChangesSince({}))).upstreams) {
+      BOOST_TEST(!sent.draining, row.what);
+    }
+    if (row.used) continue;
+    // The store goes on listing it: its entry has not lapsed.
+    BOOST_TEST(!view.Sweep(Millis(7999)));
+    BOOST_TEST(view.UntilSweep(Millis(7999)).count() == 1);
+    BOOST_TEST(view.Sweep(Millis(8000)));
+    BOOST_TEST(!view.upstreams().at("a").draining, row.what);
+    BOOST_TEST(view.UntilSweep(Millis(8000)).count() < 0);
+  }
+}
+
 // What a restored store says replaces what it said before, though its revisions
 // have gone back.
 BOOST_AUTO_TEST_CASE(revisions_are_ordered_by_epoch_first) {
--- a/almondwind/fleet/view.cc
+++ b/almondwind/fleet/view.cc
@@ -1,6 +1,7 @@
 #include "almondwind/fleet/view.h"
 
 #include <algorithm>
+#include <optional>
 #include <set>
 #include <tuple>
 
@@ -9,23 +10,27 @@
 using base::Millis;
 
 bool Upstream::EqualsIgnoringRevision(const Upstream& o) const {
-  return std::tie(id, service, address, zone, slots, draining, started_at) ==
-             std::tie(o.id, o.service, o.address, o.zone, o.slots, o.draining,
-                      o.started_at) &&
+  return std::tie(id, service, address, zone, slots, draining, doubted,
+                  started_at) == std::tie(o.id, o.service, o.address, o.zone,
+                                          o.slots, o.draining, o.doubted,
+                                          o.started_at) &&
          cold_left == o.cold_left;
 }
 
 bool View::Replace(const std::vector<Upstream>& upstreams,
                    const Revision& revision, Millis now) {
   if (revision <= revision_ && revision_.known()) return false;
-  if (revision.epoch != revision_.epoch || !revision_.known()) {
-    removals_complete_from_ = revision;
-  }
+  bool new_epoch = revision.epoch != revision_.epoch || !revision_.known();
+  if (new_epoch) removals_complete_from_ = revision;
   bool changed = false;
   std::set<std::string> present;
   for (const Upstream& upstream : upstreams) {
     present.insert(upstream.id);
-    changed = Put(upstream) || changed;
+    Upstream entry = upstream;
+    entry.doubted = new_epoch && HasLeftSince(entry);
+    entry.draining = entry.draining || entry.doubted;
+    changed = Put(entry) || changed;
+    if (entry.doubted) doubts_[entry.id] = now + options_.doubt_delay;
   }
   std::vector<std::string> missing;
   for (const auto& [id, upstream] : upstreams_) {
@@ -40,10 +45,26 @@
   return changed;
 }
 
+bool View::HasLeftSince(const Upstream& entry) const {
+  auto known = upstreams_.find(entry.id);
+  if (known != upstreams_.end()) {
+    return known->second.draining &&
+           known->second.started_at == entry.started_at &&
+           known->second.heartbeats >= entry.heartbeats && !entry.draining;
+  }
+  auto removal = std::find_if(
+      removals_.rbegin(), removals_.rend(),
+      [&entry](const Removal& removal) { return removal.id == entry.id; });
+  return removal != removals_.rend() &&
+         removal->started_at == entry.started_at &&
+         removal->heartbeats >= entry.heartbeats;
+}
+
 bool View::Put(const Upstream& upstream) {
   Upstream& known = upstreams_[upstream.id];
   if (upstream.revision < known.revision) return false;
   pending_removals_.erase(upstream.id);
+  doubts_.erase(upstream.id);
   bool changed = !known.EqualsIgnoringRevision(upstream);
   known = upstream;
   return changed;
@@ -54,13 +75,14 @@
   if (it == upstreams_.end()) return false;
   if (revision < it->second.revision) return false;
   it->second.revision = revision;
-  RecordRemoval(id, revision);
+  RecordRemoval(it->second, revision);
   ScheduleRemoval(id, now);
   return true;
 }
 
-void View::RecordRemoval(const std::string& id, const Revision& revision) {
-  removals_.push_back({id, revision});
+void View::RecordRemoval(const Upstream& upstream, const Revision& revision) {
+  removals_.push_back(
+      {upstream.id, revision, upstream.started_at, upstream.heartbeats});
   if (removals_.size() <= kMaxRemovals) return;
   removals_complete_from_ =
       std::max(removals_complete_from_, removals_.front().revision);
@@ -72,6 +94,7 @@
   if (it == upstreams_.end() || pending_removals_.count(id) != 0) return;
   if (it->second.draining) {
     upstreams_.erase(it);
+    doubts_.erase(id);
     return;
   }
   Millis due = now + options_.removal_delay;
@@ -91,7 +114,7 @@
 }
 
 bool View::Sweep(Millis now) {
-  bool removed = false;
+  bool changed = false;
   for (auto it = pending_removals_.begin(); it != pending_removals_.end();) {
     if (it->second > now) {
       ++it;
@@ -99,18 +122,30 @@
     }
     upstreams_.erase(it->first);
     it = pending_removals_.erase(it);
-    removed = true;
+    changed = true;
+  }
+  for (auto it = doubts_.begin(); it != doubts_.end();) {
+    if (it->second > now) {
+      ++it;
+      continue;
+    }
+    Upstream& upstream = upstreams_.at(it->first);
+    upstream.draining = false;
+    upstream.doubted = false;
+    it = doubts_.erase(it);
+    changed = true;
   }
-  return removed;
+  return changed;
 }
 
 Millis View::UntilSweep(Millis now) const {
-  if (pending_removals_.empty()) return Millis(-1);
-  Millis first = pending_removals_.begin()->second;
-  for (const auto& [id, due] : pending_removals_) {
-    first = std::min(first, due);
+  std::optional<Millis> first;
+  for (const auto* due_times : {&pending_removals_, &doubts_}) {
+    for (const auto& [id, due] : *due_times) {
+      first = std::min(first.value_or(due), due);
+    }
   }
-  return std::max(Millis(0), first - now);
+  return first ? std::max(Millis(0), *first - now) : Millis(-1);
 }
 
 const Upstream* View::AtAddress(std::string_view address) const {
--- a/almondwind/fleet/view.h
+++ b/almondwind/fleet/view.h
@@ -14,6 +14,12 @@
 // unavailable and are restored soon after it returns. Sweep removes the entries
 // that were not restored.
 //
+// A restored store may list upstreams as it did before they left. A view
+// remembers departures: an entry of the first list of an epoch that is no newer
+// than a departure, by the counter of the upstream's own heartbeats, counts as
+// draining until the upstream writes again. The entry of an upstream that has
+// ended lapses, so the doubt ends after ViewOptions::doubt_delay.
+//
 //   view.Replace(entries, revision, now);
 //   view.Remove("i-17", revision, now);
 //   if (view.Sweep(now)) UpdateDirectory(view);
@@ -45,9 +51,15 @@
   bool draining = false;
   base::Millis cold_left{0};  // remaining warm-up time after a start
   int64_t started_at = 0;     // Unix time in ms; distinguishes incarnations
-  Revision revision;          // of the entry's last change
+  // Counts the heartbeats of this incarnation: orders what it says of itself,
+  // also when the store has gone back.
+  uint64_t heartbeats = 0;
+  Revision revision;  // of the entry's last change
+
+  // Whether `draining` is remembered by this node; the store lists it as ready.
+  bool doubted = false;
 
-  // Returns whether all fields but the revision are equal.
+  // Returns whether all fields but the revision and the heartbeats are equal.
   bool EqualsIgnoringRevision(const Upstream& o) const;
 };
 
@@ -55,6 +67,9 @@
 struct Removal {
   std::string id;
   Revision revision;  // of the removal
+  // Of the removed entry; not sent to peers.
+  int64_t started_at = 0;
+  uint64_t heartbeats = 0;
 };
 
 // What a peer needs to bring its view from revision `since` to `revision`.
@@ -74,6 +89,10 @@
   // 2 s within which the platform restores expired entries.
   base::Millis removal_delay{400};
   base::Millis recovery_removal_delay{2200};
+  // How long a departure is remembered against an entry that the restored store
+  // lists: until the platform would have removed the entry of a silent
+  // upstream, after three heartbeats of 1.5 s, and this node has learned of it.
+  base::Millis doubt_delay{6000};
 };
 
 class View {
@@ -98,10 +117,11 @@
   // Records that the store was unavailable until `at`: entries that it lacks
   // are kept for the longer delay from then on.
   void OnStoreReturned(base::Millis at);
-  // Removes entries whose removal is due; returns whether there were any.
+  // Removes entries whose removal is due, and ends doubts that are due. Returns
+  // whether there were any.
   bool Sweep(base::Millis now);
-  // Returns the time until the next removal is due, or a negative value if none
-  // is pending.
+  // Returns the time until the next of these is due, or a negative value if
+  // none is pending.
   base::Millis UntilSweep(base::Millis now) const;
 
   // Returns the most recently started upstream at `address`, or null.
@@ -132,12 +152,16 @@
  private:
   static constexpr size_t kMaxRemovals = 512;
 
+  // Returns whether this node knows that the upstream has left since it was as
+  // `entry` says.
+  bool HasLeftSince(const Upstream& entry) const;
   void ScheduleRemoval(const std::string& id, base::Millis now);
-  void RecordRemoval(const std::string& id, const Revision& revision);
+  void RecordRemoval(const Upstream& upstream, const Revision& revision);
 
   const ViewOptions options_;
   std::map<std::string, Upstream> upstreams_;
   std::map<std::string, base::Millis> pending_removals_;  // due time, by id
+  std::map<std::string, base::Millis> doubts_;            // the same
   Revision revision_;
   // Removals after removals_complete_from_, in the order in which they came.
   std::deque<Removal> removals_;
--- a/almondwind/sidecar/documents.cc
+++ b/almondwind/sidecar/documents.cc
@@ -20,7 +20,7 @@
       feed_(feed),
       log_(log),
       events_(events),
-      view_(fleet::ViewOptions()),
+      view_(options.view),
       election_(options.election, options.address),
       outage_(options.outage),
       sweep_(timers) {}
@@ -181,6 +181,7 @@
 Documents::UpstreamState Documents::StateOf(
     const fleet::Upstream& upstream) const {
   if (view_.removal_pending(upstream.id)) return UpstreamState::kVanished;
+  if (upstream.doubted) return UpstreamState::kDoubted;
   return upstream.draining ? UpstreamState::kDraining : UpstreamState::kReady;
 }
 
--- a/almondwind/sidecar/documents.h
+++ b/almondwind/sidecar/documents.h
@@ -35,6 +35,7 @@
   std::string zone;
   fleet::ElectionOptions election;
   fleet::OutageOptions outage;
+  fleet::ViewOptions view;
   // How long a newer document may be known to exist before peers are asked for
   // it that are not expected to deliver it first.
   base::Millis behind_delay{600};
@@ -101,10 +102,11 @@
     kUnknown,  // not listed
     kReady,
     kDraining,
-    kVanished  // removed without having been marked as draining; still used
+    kVanished,  // removed without having been marked as draining; still used
+    kDoubted    // listed by the restored store, though it has left; not used
   };
-  static constexpr base::Names<4> kUpstreamStateNames = {
-      "unknown", "ready", "draining", "vanished"};
+  static constexpr base::Names<5> kUpstreamStateNames = {
+      "unknown", "ready", "draining", "vanished", "doubted"};
 
   // The store answered this node or a peer at time `at`.
   void OnStoreAnswered(base::Millis at);
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -128,6 +128,7 @@
   std::string metrics;     // "ip:port" of the operator pages; empty: none
   uint16_t peer_port = 0;  // port of the links of all nodes
   base::Millis stop_grace{6000};  // from SIGTERM to SIGKILL
+  base::Millis heartbeat{1500};   // between two heartbeats of an upstream
   routes::RetryBudgetOptions retry_budget;
   int64_t memory_bytes = 256 << 20;
   int max_descriptors = 1024;
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -31,6 +31,11 @@
 // Reserved at the end of the grace period for the process to exit.
 constexpr Millis kExitMargin{500};
 
+// The platform removes the entry of an upstream after so many missed
+// heartbeats, and a node learns of it within the margin.
+constexpr int kHeartbeatsUntilLapse = 3;
+constexpr Millis kLapseMargin{1500};
+
 // Names come from clients and operators and may hold bytes that are not UTF-8,
 // which are replaced.
 std::string ToText(const nlohmann::json& page) {
@@ -52,6 +57,7 @@
   DocumentsOptions o;
   o.address = s.links;
   o.zone = s.zone;
+  o.view.doubt_delay = s.heartbeat * kHeartbeatsUntilLapse + kLapseMargin;
   return o;
 }
 
