--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -95,7 +95,13 @@
     http::Request request = reader_.Take();
     const std::string* id = request.headers.Find("Id");
     std::string name = id == nullptr ? "" : *id;
+    bool crashes = request.target == upstream_.crash_target;
     upstream_.seen.push_back(std::move(request));
+    if (crashes) {
+      constexpr Millis kTimeToCrash{30};
+      return upstream_.crash_.Start(kTimeToCrash,
+                                    [this] { upstream_.Crash(); });
+    }
     ScriptedResponse response = upstream_.script.front();
     if (upstream_.script.size() > 1) upstream_.script.pop_front();
     size_t at = response.answer.find("{id}");
@@ -139,17 +145,29 @@
 
 TestUpstream::TestUpstream(boost::asio::io_context& io, loop::Timers& timers,
                            const std::string& address)
-    : timers_(timers),
-      address_(address),
-      acceptor_(
-          io, timers, address_, [this](boost::asio::ip::tcp::socket socket) {
-            auto owned = std::make_unique<Connection>(*this, std::move(socket));
-            Connection* connection = owned.get();
-            connections_[connection] = std::move(owned);
-          }) {}
+    : io_(io), timers_(timers), address_(address) {
+  Listen();
+}
 
 TestUpstream::~TestUpstream() = default;
 
+void TestUpstream::Listen() {
+  acceptor_ = std::make_unique<loop::Acceptor>(
+      io_, timers_, address_, [this](boost::asio::ip::tcp::socket socket) {
+        auto owned = std::make_unique<Connection>(*this, std::move(socket));
+        Connection* connection = owned.get();
+        connections_[connection] = std::move(owned);
+      });
+}
+
+void TestUpstream::Crash() {
+  if (acceptor_ == nullptr) return;
+  ++crashes;
+  acceptor_.reset();
+  connections_.clear();
+  restart_.Start(restart_time, [this] { Listen(); });
+}
+
 size_t TestUpstream::unwritten() const {
   size_t sum = 0;
   for (const auto& [connection, owned] : connections_) {
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -82,16 +82,27 @@
   int ended = 0;
   bool stalled = false;        // does not read
   bool answers_early = false;  // answers before the request is complete
+  // Requests for this target crash the upstream, which is back after
+  // `restart_time`: its connections are reset and new ones refused.
+  std::string crash_target;
+  base::Millis restart_time{300};
+  int crashes = 0;
   // Bytes of its answers that wait to be written.
   size_t unwritten() const;
 
  private:
   class Connection;
 
+  void Listen();
+  void Crash();
+
+  boost::asio::io_context& io_;
   loop::Timers& timers_;
   const std::string address_;
   std::map<Connection*, std::unique_ptr<Connection>> connections_;
-  loop::Acceptor acceptor_;
+  std::unique_ptr<loop::Acceptor> acceptor_;  // null while it is down
+  loop::Timer crash_{timers_};
+  loop::Timer restart_{timers_};
 };
 
 // A caller with one connection.
