Refuse requests that crash the upstreams that run them

Cause: what an attempt did to its upstream was forgotten with the attempt. A lost connection was an unknown outcome like any other, repeated at the next upstream, and a repeat by the client was a new request. Class: a failure judged by one node and one attempt, whose cause shows only over several of them.

Change: a gate that loses a connection dials its upstream; if nothing listens, the upstream has ended, and the requests in progress are recorded by a hash of method, host, target and body (crashes/). Of those in progress only the ones with the most ends are blamed; an answer clears a request, so that popular ones are never refused for crashes with other causes. Nodes tell each other each end, and all they know to a new link. From two ends on a request runs beside no other such one; after three it is refused at the entry and at gates, with 503 and the time left of five minutes, after which one more end refuses it again. A request that has ended two upstreams is not sent to a third one. The answers of lost requests wait for the dial, at most 0.1 s. The peers' protocol is version 9.

--- a/almondwind/base/outcome.cc
+++ b/almondwind/base/outcome.cc
@@ -48,6 +48,15 @@
      "after Retry-After"},
     {Reason::kUpstreamUnreachable, "upstream_unreachable", 503,
      "the upstream accepts no connection; check that it runs"},
+    {Reason::kUpstreamEnded, "upstream_ended", 502,
+     "the upstream ended while it ran the request; repeat it only if it is "
+     "idempotent"},
+    {Reason::kCrashesUpstreams, "crashes_upstreams", 503,
+     "upstreams have ended each time that they ran this request; do not repeat "
+     "it before Retry-After, and have its cause looked at"},
+    {Reason::kCrashSuspect, "crash_suspect", 503,
+     "upstreams have ended under this request, so it runs beside no other such "
+     "request; repeat after Retry-After"},
     {Reason::kContractRequired, "contract_required", 428,
      "repeat the order with the contract of the X-Contract header as its "
      "Idempotency-Key"},
--- a/almondwind/base/outcome.h
+++ b/almondwind/base/outcome.h
@@ -32,7 +32,8 @@
 // How an HTTP exchange ended, as seen by the client.
 enum class EndKind : uint8_t {
   kAnswer,       // a complete answer was received
-  kClosed,       // the request was sent, but no complete answer came
+  kClosed,       // the request was sent; the peer ended without an answer
+  kUnusable,     // the request was sent, but what came is no answer to it
   kUnreachable,  // nothing was sent
   kTooLarge      // the answer exceeds the size limit
 };
@@ -54,6 +55,9 @@
   kUpstreamShed,
   kRefusedBelow,
   kUpstreamUnreachable,
+  kUpstreamEnded,
+  kCrashesUpstreams,
+  kCrashSuspect,
   kContractRequired,
   kContractUnknown,
   kContractVoided,
@@ -68,7 +72,7 @@
   kTooManyCalls,
   kNotReady,
 };
-constexpr size_t kReasonCount = 29;
+constexpr size_t kReasonCount = 32;
 
 // Returns the name of `reason` in logs, metrics and the X-Reason header.
 std::string_view ReasonName(Reason reason);
--- a/almondwind/node/server.cc
+++ b/almondwind/node/server.cc
@@ -302,6 +302,7 @@
       }
       break;
     case EndKind::kClosed:
+    case EndKind::kUnusable:
       set(Outcome::kUnknown, Reason::kUpstreamClosed);
       break;
     case EndKind::kUnreachable:
--- a/almondwind/peers/frames.cc
+++ b/almondwind/peers/frames.cc
@@ -117,8 +117,18 @@
   f(m.id, m.of_request, m.bytes);
 }
 
+template <typename F>
+void VisitFields(F& f, CrashReport& m) {
+  f(m.request, m.upstream, m.age_ms);
+}
+template <typename F>
+void VisitFields(F& f, CrashReports& m) {
+  f(m.reports);
+}
+
 template <typename T>
 constexpr bool kIsStructList = std::is_same_v<T, std::vector<RouteCost>> ||
+                               std::is_same_v<T, std::vector<CrashReport>> ||
                                std::is_same_v<T, std::vector<RouteDemand>>;
 
 struct FieldPacker {
@@ -286,6 +296,8 @@
       return Unpack<BodyPart>(payload, names);
     case FrameType::kCredit:
       return Unpack<Credit>(payload, names);
+    case FrameType::kCrashReports:
+      return Unpack<CrashReports>(payload, names);
   }
   throw Error(Reason::kMalformed, "link frame of unknown type");
 }
--- a/almondwind/peers/frames.h
+++ b/almondwind/peers/frames.h
@@ -30,7 +30,7 @@
 
 // Incremented whenever a field changes meaning; a peer with another version is
 // refused at Hello.
-constexpr uint32_t kProtocolVersion = 8;
+constexpr uint32_t kProtocolVersion = 9;
 
 enum class FrameType : uint8_t {
   kHello,
@@ -41,9 +41,10 @@
   kDocumentRequest,
   kDocument,
   kBodyPart,
-  kCredit
+  kCredit,
+  kCrashReports
 };
-constexpr size_t kFrameTypeCount = 9;
+constexpr size_t kFrameTypeCount = 10;
 
 using http::BodyRest;
 
@@ -177,8 +178,20 @@
   std::string text;
 };
 
+// See crashes::Report.
+struct CrashReport {
+  std::string request;
+  std::string upstream;
+  uint64_t age_ms = 0;
+};
+
+// Requests under which upstreams have ended, or that were answered since.
+struct CrashReports {
+  std::vector<CrashReport> reports;
+};
+
 using Frame = std::variant<Hello, State, Call, Cancel, Answer, DocumentRequest,
-                           Document, BodyPart, Credit>;
+                           Document, BodyPart, Credit, CrashReports>;
 
 // Header names that are encoded as their index in this list. Both sides must
 // have the same list.
--- a/almondwind/peers/testing/frames_test.cc
+++ b/almondwind/peers/testing/frames_test.cc
@@ -56,7 +56,8 @@
           large_call,
           large_answer,
           BodyPart{7, true, 1, "part"},
-          Credit{7, false, 4096}};
+          Credit{7, false, 4096},
+          CrashReports{{{"request", "i-1@5", 250}, {"other", "", 0}}}};
 }
 
 Frame RoundTrip(const Frame& frame) {
--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "almondwind/crashes/identity.h"
 #include "almondwind/sidecar/entry_call.h"
 
 namespace almondwind::sidecar {
@@ -14,13 +15,14 @@
 
 Dispatcher::Dispatcher(loop::Timers& timers, const Dialect& dialect,
                        DispatcherOptions options, GateServer& gate,
-                       Admission& admission, EventLog& log, Metrics& metrics,
-                       uint64_t seed)
+                       Admission& admission, crashes::History& history,
+                       EventLog& log, Metrics& metrics, uint64_t seed)
     : timers_(timers),
       dialect_(dialect),
       options_(std::move(options)),
       gate_(gate),
       admission_(admission),
+      history_(history),
       log_(log),
       metrics_(metrics),
       splitter_(seed),
@@ -84,6 +86,7 @@
     return Finish(call, LocalResponse(404, Reason::kUnknownService, Millis(0)),
                   "no_route");
   }
+  if (RefuseForCrashes(call)) return;
   bool full = calls_.size() > options_.max_calls ||
               body_bytes_ > options_.max_body_bytes;
   if (full) return Refuse(call, Reason::kTooManyCalls, Millis(500));
@@ -114,6 +117,30 @@
   Try(call);
 }
 
+bool Dispatcher::RefuseForCrashes(EntryCall& call) {
+  if (history_.empty()) return false;
+  const http::Request& request = call.request;
+  std::string identity =
+      crashes::IdentityOf({request.method, *request.headers.Find("Host"),
+                           request.target, request.body, request.rest});
+  crashes::Standing standing = history_.StandingOf(identity, call.arrived);
+  if (!standing.refused()) return false;
+  log_.Write("crashing_request_refused",
+             {{"id", call.metadata.request_id},
+              {"request", crashes::ShortName(identity)},
+              {"target", request.target},
+              {"crashes", standing.crashes},
+              {"refused_for_ms", standing.refused_for.count()}});
+  FinishCrashing(call, standing.refused_for);
+  return true;
+}
+
+// Retry-After is not bounded here: the request is refused for that long.
+void Dispatcher::FinishCrashing(EntryCall& call, Millis refused_for) {
+  Finish(call, LocalResponse(503, Reason::kCrashesUpstreams, refused_for),
+         std::string(base::ReasonName(Reason::kCrashesUpstreams)));
+}
+
 std::vector<zones::Machine*> Dispatcher::Candidates(const EntryCall& call,
                                                     bool any) {
   std::vector<zones::Machine*> out;
@@ -279,6 +306,9 @@
 void Dispatcher::OnNotRun(EntryCall& call, const peers::Answer& answer) {
   auto reason = static_cast<Reason>(answer.reason);
   ++call.refusals;
+  if (reason == Reason::kCrashesUpstreams) {
+    return FinishCrashing(call, Millis(answer.retry_after_ms));
+  }
   bool retry =
       call.refusals < options_.max_gates && reason != Reason::kDeadline;
   if (answer.arrived) {
@@ -294,7 +324,10 @@
 }
 
 void Dispatcher::OnUnknown(EntryCall& call, Reason reason) {
-  if (call.route->idempotent && ReserveRetry(call)) return Try(call);
+  if (reason == Reason::kUpstreamEnded) ++call.ended_upstreams;
+  bool retry = call.route->idempotent &&
+               call.ended_upstreams < options_.max_ended_upstreams;
+  if (retry && ReserveRetry(call)) return Try(call);
   Finish(call, LocalResponse(502, reason, Millis(0)),
          std::string(base::ReasonName(reason)));
 }
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -11,6 +11,11 @@
 // the route's timeout or the caller's timeout expires, the attempt in flight is
 // cancelled and the caller gets a 504 without waiting for it.
 //
+// A request that has crashed several upstreams is refused (crashes/history.h).
+// One under which DispatcherOptions::max_ended_upstreams upstreams have ended
+// is not retried: it may be the cause, and the other requests that were in
+// progress there have been served by then.
+//
 // Bodies too large to buffer are streamed. A request is not retried once part
 // of its streamed body has been sent, because that part is no longer held. If a
 // streamed response fails midway, the caller's connection is closed.
@@ -33,6 +38,7 @@
 #include <unordered_map>
 #include <vector>
 
+#include "almondwind/crashes/history.h"
 #include "almondwind/peers/mesh.h"
 #include "almondwind/routes/retry_budget.h"
 #include "almondwind/routes/split.h"
@@ -72,6 +78,8 @@
   uint32_t body_window = 256u << 10;
   // Refusals by gates after which the caller's request is refused.
   int max_gates = 3;
+  // Upstreams that may end under one request before it fails.
+  int max_ended_upstreams = 2;
   // Used for callers that send no timeout.
   base::Millis default_timeout{30'000};
   // Maximum queue wait at a gate. For a client's request, in percent of the
@@ -130,7 +138,8 @@
  public:
   Dispatcher(loop::Timers& timers, const Dialect& dialect,
              DispatcherOptions options, GateServer& gate, Admission& admission,
-             EventLog& log, Metrics& metrics, uint64_t seed);
+             crashes::History& history, EventLog& log, Metrics& metrics,
+             uint64_t seed);
   ~Dispatcher();
 
   void Attach(peers::Mesh& mesh) { mesh_ = &mesh; }
@@ -194,6 +203,8 @@
   void ReleaseStream(EntryCall& call);
   void AbortResponse(EntryCall& call, const std::string& why);
   void Begin(EntryCall& call);
+  // Refuses a request that crashes upstreams. Returns whether it did.
+  bool RefuseForCrashes(EntryCall& call);
   void Try(EntryCall& call);
   zones::Machine* Choose(EntryCall& call);
   std::vector<zones::Machine*> Candidates(const EntryCall& call, bool any);
@@ -206,6 +217,7 @@
   bool ReserveRetry(EntryCall& call);
   bool FailsMoreThanOthers(const EntryCall& call);
   void Refuse(EntryCall& call, base::Reason reason, base::Millis retry_after);
+  void FinishCrashing(EntryCall& call, base::Millis refused_for);
   void Finish(EntryCall& call, http::Response response, const std::string& why);
   EntryCallPtr Remove(EntryCall& call, int status, const std::string& why);
   void Log(const EntryCall& call, int status, const std::string& why);
@@ -217,6 +229,7 @@
   DispatcherOptions options_;
   GateServer& gate_;
   Admission& admission_;
+  crashes::History& history_;
   EventLog& log_;
   Metrics& metrics_;
   peers::Mesh* mesh_ = nullptr;
--- a/almondwind/sidecar/entry_call.h
+++ b/almondwind/sidecar/entry_call.h
@@ -30,6 +30,7 @@
   std::set<std::string> tried;  // ids of upstreams
   int arrivals = 0;             // number of upstreams reached
   int refusals = 0;             // number of refusals by gates
+  int ended_upstreams = 0;      // number of upstreams that ended under it
 
   bool streaming = false;  // counted in Dispatcher::streams_
   // Part of the request's body has been passed on and is no longer held, so the
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -4,6 +4,7 @@
 #include <nlohmann/json.hpp>
 #include <vector>
 
+#include "almondwind/crashes/identity.h"
 #include "almondwind/machines/limiter.h"
 
 namespace almondwind::sidecar {
@@ -42,7 +43,9 @@
     return NotRun(Reason::kUpstreamUnreachable);
   }
   if (kind == EndKind::kTooLarge) return Unknown(Reason::kAnswerTooLarge);
-  if (kind == EndKind::kClosed) return Unknown(Reason::kUpstreamClosed);
+  if (kind == EndKind::kClosed || kind == EndKind::kUnusable) {
+    return Unknown(Reason::kUpstreamClosed);
+  }
   if (metadata.wrong_upstream || metadata.not_run) {
     peers::Answer answer = NotRun(
         metadata.wrong_upstream ? Reason::kNoHost : Reason::kUpstreamShed);
@@ -69,7 +72,8 @@
 
 GateServer::GateServer(loop::Timers& timers, const Dialect& dialect,
                        const GateServerOptions& options, EventLog& log,
-                       Metrics& metrics, RunObserver& observer)
+                       Metrics& metrics, RunObserver& observer,
+                       crashes::History& history, CrashObserver& crash_observer)
     : timers_(timers),
       dialect_(dialect),
       options_(options),
@@ -79,7 +83,10 @@
       gate_(std::make_unique<machines::Gate>(kDefaultSlots, kMaxConnections,
                                              options.gate, *this)),
       slots_(kDefaultSlots),
-      tick_(timers) {}
+      tick_(timers),
+      history_(history),
+      crash_observer_(crash_observer),
+      end_window_(timers) {}
 
 GateServer::~GateServer() = default;
 
@@ -181,6 +188,12 @@
   gate_run.call = std::move(call);
   gate_run.reply = std::move(reply);
   by_key_[key] = run->id;
+  // The identity of a streamed request must be taken before its body is sent.
+  if (gate_run.call.rest.follows) IdentityOf(gate_run);
+  if (std::optional<peers::Answer> refusal = RefusalForCrashes(gate_run)) {
+    run->enqueued = now;
+    return Answer(run->id, std::move(*refusal));
+  }
   gate_->Offer(run, now);
   if (gate_->queued() > 0 && !tick_.pending()) {
     tick_.Start(kTickInterval, [this] { Tick(); });
@@ -201,6 +214,11 @@
     gate_->End(run, {}, now);
     return Answer(id, NotRun(Reason::kDeadline));
   }
+  // Upstreams may have ended under it elsewhere while it was queued.
+  if (std::optional<peers::Answer> refusal = RefusalForCrashes(gate_run)) {
+    gate_->End(run, {}, now);
+    return Answer(id, std::move(*refusal));
+  }
   observer_.OnRunStarted(id, gate_run.call.route, run.request->cls, now + left);
   http::Request request = UpstreamRequest(gate_run, left);
   std::string request_id = dialect_.ReadCaller(request.headers).request_id;
@@ -250,20 +268,137 @@
   if (kind == EndKind::kAnswer) OnAnnouncement(it->second, metadata);
   Millis now = timers_.Now();
   peers::Answer answer = AnswerFor(kind, std::move(response), metadata);
+  if (answer.outcome == static_cast<uint8_t>(Outcome::kAnswered)) {
+    OnCompleted(it->second);
+  }
   bool completed = answer.status / 100 == 2;
   observer_.OnRunEnded(exchange, completed, now - run->started);
   machines::RunEnd end;
   end.shed = metadata.not_run && !metadata.wrong_upstream;
   gate_->End(*run, end, now);
+  // A planned end is no crash.
+  if (kind == EndKind::kClosed && !gate_->leaving()) {
+    return HoldLostRun(exchange);
+  }
   Answer(exchange, std::move(answer));
 }
 
+// ---- Requests that crash the upstream.
+
+const std::string& GateServer::IdentityOf(GateRun& run) const {
+  if (run.identity.empty()) {
+    const std::string* host = run.call.headers.Find("Host");
+    run.identity = crashes::IdentityOf(
+        {run.call.method, host == nullptr ? std::string_view() : *host,
+         run.call.target, run.call.body, run.call.rest});
+  }
+  return run.identity;
+}
+
+std::optional<peers::Answer> GateServer::RefusalForCrashes(GateRun& run) {
+  if (history_.empty()) return std::nullopt;
+  Millis now = timers_.Now();
+  crashes::Standing standing = history_.StandingOf(IdentityOf(run), now);
+  run.alone = standing.crashes >= options_.crashes_until_alone;
+  peers::Answer answer;
+  if (standing.refused()) {
+    answer = NotRun(Reason::kCrashesUpstreams);
+    answer.retry_after_ms = static_cast<uint32_t>(standing.refused_for.count());
+  } else if (run.alone &&
+             std::any_of(runs_.begin(), runs_.end(), [&run](const auto& row) {
+               return &row.second != &run && row.second.alone;
+             })) {
+    answer = NotRun(Reason::kCrashSuspect);
+    answer.retry_after_ms =
+        static_cast<uint32_t>(options_.alone_retry_after.count());
+  } else {
+    return std::nullopt;
+  }
+  return answer;
+}
+
+void GateServer::OnCompleted(GateRun& run) {
+  if (history_.empty()) return;
+  const std::string& identity = IdentityOf(run);
+  if (!history_.OnCompleted(identity)) return;
+  log_.Write("crash_suspect_cleared",
+             {{"request", crashes::ShortName(identity)},
+              {"id", dialect_.ReadCaller(run.call.headers).request_id},
+              {"target", run.call.target},
+              {"upstream", run.call.upstream}});
+  crash_observer_.OnCrashReports({{identity, "", Millis(0)}});
+}
+
+void GateServer::HoldLostRun(uint64_t id) {
+  auto it = runs_.find(id);
+  GateRun run = std::move(it->second);
+  by_key_.erase(run.key);
+  runs_.erase(it);
+  AddLostRun(std::move(run));
+}
+
+void GateServer::AddLostRun(GateRun run) {
+  IdentityOf(run);
+  lost_runs_.push_back(std::move(run));
+  if (end_window_.pending()) {
+    OnUpstreamProbed(/*refused=*/true);  // its process is known to have ended
+  } else {
+    pool_->Probe();
+  }
+}
+
+void GateServer::OnUpstreamProbed(bool refused) {
+  Reason reason = refused ? Reason::kUpstreamEnded : Reason::kUpstreamClosed;
+  std::vector<GateRun> lost = std::exchange(lost_runs_, {});
+  for (GateRun& run : lost) {
+    if (refused) {
+      // The time tells this end from others: an upstream may start again under
+      // the id that it had, and the list of upstreams comes later.
+      if (ended_upstream_.empty()) {
+        ended_upstream_ =
+            run.call.upstream + "@" + std::to_string(timers_.Now().count());
+      }
+      ended_under_.push_back(run.identity);
+    }
+    // A streamed response has been broken off already.
+    if (!run.response_started) SendAnswer(run, Unknown(reason));
+  }
+  if (refused && !ended_under_.empty() && !end_window_.pending()) {
+    end_window_.Start(options_.end_window, [this] { ReportEnd(); });
+  }
+}
+
+void GateServer::ReportEnd() {
+  std::vector<std::string> requests = std::exchange(ended_under_, {});
+  std::string upstream = std::exchange(ended_upstream_, {});
+  Millis now = timers_.Now();
+  std::vector<crashes::Report> reports =
+      history_.OnUpstreamEnded(upstream, requests, now);
+  constexpr size_t kLoggedRequests = 8;
+  nlohmann::json blamed = nlohmann::json::array();
+  for (const crashes::Report& report : reports) {
+    if (blamed.size() == kLoggedRequests) break;
+    blamed.push_back(
+        {{"request", crashes::ShortName(report.request)},
+         {"crashes", history_.StandingOf(report.request, now).crashes}});
+  }
+  log_.Write("upstream_ended", {{"upstream", upstream},
+                                {"in_progress", requests.size()},
+                                {"suspected", reports.size()},
+                                {"requests", blamed}});
+  if (!reports.empty()) crash_observer_.OnCrashReports(reports);
+}
+
 void GateServer::Answer(uint64_t id, peers::Answer answer) {
   auto it = runs_.find(id);
   if (it == runs_.end()) return;
   GateRun run = std::move(it->second);
   runs_.erase(it);
   by_key_.erase(run.key);
+  SendAnswer(run, std::move(answer));
+}
+
+void GateServer::SendAnswer(GateRun& run, peers::Answer answer) {
   answer.id = run.key.second;
   answer.load = Load();
   if (!announcement().empty()) answer.announcement = announcement();
@@ -279,8 +414,11 @@
 void GateServer::LogEnd(const GateRun& run, const peers::Answer& answer) const {
   auto outcome = static_cast<Outcome>(answer.outcome);
   if (outcome == Outcome::kAnswered || !log_.ShouldLog("gate")) return;
+  std::string request =
+      run.identity.empty() ? "" : crashes::ShortName(run.identity);
   log_.Write("gate",
-             {{"id", dialect_.ReadCaller(run.call.headers).request_id},
+             {{"request", request},
+              {"id", dialect_.ReadCaller(run.call.headers).request_id},
               {"route", run.call.route},
               {"method", run.call.method},
               {"target", run.call.target},
@@ -414,13 +552,17 @@
   // The reply may have ended runs, so the iterator may be invalid.
   it = runs_.find(exchange);
   if (it == runs_.end()) return;
+  if (end == peers::BodyEnd::kLast) OnCompleted(it->second);
   machines::RunPtr run = it->second.run;
   Millis now = timers_.Now();
   observer_.OnRunEnded(exchange, end == peers::BodyEnd::kLast,
                        now - run->started);
   by_key_.erase(it->second.key);
+  GateRun ended = std::move(it->second);
   runs_.erase(it);
+  bool broken = end == peers::BodyEnd::kBroken && !gate_->leaving();
   gate_->End(*run, {}, now);
+  if (broken) AddLostRun(std::move(ended));
 }
 
 links::Load GateServer::Load() const {
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -12,6 +12,12 @@
 // the upstream. If the upstream does anything else after a request was sent,
 // without marking it as not run, the outcome is "unknown".
 //
+// If a connection to the upstream is lost, the gate looks whether the
+// upstream's process has ended, and records under which requests
+// (crashes/history.h). A request that has crashed several upstreams is refused;
+// while one that is suspected of it runs, no other such request does, so that
+// the next end tells which of them it was.
+//
 // A body too large for one frame is streamed. For a request body, credit is
 // granted for as many bytes as have been written to the upstream; a response
 // body is read only while the sender of the call has granted credit.
@@ -24,10 +30,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
+#include <vector>
 
+#include "almondwind/crashes/history.h"
 #include "almondwind/machines/announcement.h"
 #include "almondwind/machines/gate.h"
 #include "almondwind/peers/frames.h"
@@ -56,6 +65,13 @@
   virtual void OnRunEnded(uint64_t run, bool completed, base::Millis took) = 0;
 };
 
+// Told about what a gate learns of requests that crash upstreams.
+class CrashObserver {
+ public:
+  virtual ~CrashObserver() = default;
+  virtual void OnCrashReports(const std::vector<crashes::Report>& reports) = 0;
+};
+
 struct GateServerOptions {
   machines::GateOptions gate = [] {
     machines::GateOptions o;
@@ -79,13 +95,23 @@
   // Bytes in flight of a streamed request body. Sufficient for 1 Gbit/s at a
   // round-trip time of 2 ms.
   uint32_t body_window = 256u << 10;
+  // Ends of upstreams from which on a request runs beside no other such one.
+  // After the first end every request that was in progress is suspected, and
+  // the bystanders must be repeated without delay.
+  int crashes_until_alone = 2;
+  // Retry delay of a request that has to wait for another such one.
+  base::Millis alone_retry_after{300};
+  // Time in which the connections of an upstream that ended are all seen to
+  // end.
+  base::Millis end_window{20};
 };
 
 class GateServer : public machines::GateEvents, public UpstreamPoolEvents {
  public:
   GateServer(loop::Timers& timers, const Dialect& dialect,
              const GateServerOptions& options, EventLog& log, Metrics& metrics,
-             RunObserver& observer);
+             RunObserver& observer, crashes::History& history,
+             CrashObserver& crash_observer);
   ~GateServer() override;
 
   void Attach(UpstreamPool& pool) { pool_ = &pool; }
@@ -111,7 +137,7 @@
   const machines::Announcement& announcement() const {
     return tracker_.current();
   }
-  bool idle() const { return runs_.empty(); }
+  bool idle() const { return runs_.empty() && lost_runs_.empty(); }
   size_t in_progress() const { return runs_.size(); }
 
   void Start(machines::Run& run) override;
@@ -124,6 +150,7 @@
   void OnUpstreamBody(uint64_t exchange, std::string bytes,
                       peers::BodyEnd end) override;
   void OnUpstreamDrained(uint64_t exchange) override;
+  void OnUpstreamProbed(bool refused) override;
 
  private:
   struct GateRun {
@@ -138,9 +165,22 @@
     // sent.
     bool response_started = false;
     int64_t credit = 0;
+    std::string identity;  // empty until it is needed
+    bool alone = false;    // no other such request may run beside it
   };
 
   void Answer(uint64_t id, peers::Answer answer);
+  void SendAnswer(GateRun& run, peers::Answer answer);
+  const std::string& IdentityOf(GateRun& run) const;
+  // Returns the refusal of a run that may not start, because upstreams have
+  // ended under its request.
+  std::optional<peers::Answer> RefusalForCrashes(GateRun& run);
+  void OnCompleted(GateRun& run);
+  // The connection of a run was lost. Its answer waits for what a probe tells
+  // of the upstream.
+  void HoldLostRun(uint64_t id);
+  void AddLostRun(GateRun run);
+  void ReportEnd();
   GateRun* Find(const CallKey& key);
   void GrantRequestCredit(GateRun& run, uint32_t bytes);
   void AbortRun(uint64_t id);
@@ -173,6 +213,14 @@
   std::map<CallKey, uint64_t> by_key_;
   uint64_t next_run_ = 1;
   loop::Timer tick_;
+  crashes::History& history_;
+  CrashObserver& crash_observer_;
+  std::vector<GateRun> lost_runs_;  // whose answers wait for the probe
+  // Identities of the requests in progress as the upstream ended, and the
+  // process that did.
+  std::vector<std::string> ended_under_;
+  std::string ended_upstream_;
+  loop::Timer end_window_;
 };
 
 }  // namespace almondwind::sidecar
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -5,6 +5,7 @@
 #include <set>
 #include <utility>
 
+#include "almondwind/crashes/identity.h"
 #include "almondwind/zones/peer_selection.h"
 
 namespace almondwind::sidecar {
@@ -42,6 +43,15 @@
   return page.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
+peers::CrashReports ToFrame(const std::vector<crashes::Report>& reports) {
+  peers::CrashReports frame;
+  for (const crashes::Report& report : reports) {
+    frame.reports.push_back({report.request, report.upstream,
+                             static_cast<uint64_t>(report.age.count())});
+  }
+  return frame;
+}
+
 peers::MeshOptions MeshOptionsFrom(const Settings& s, uint64_t incarnation,
                                    const Dialect& dialect) {
   peers::MeshOptions o;
@@ -98,11 +108,12 @@
       documents_(timers, DocumentsOptionsFrom(settings),
                  environment.config_format, environment.feed, log, *this),
       traffic_(TrafficOptions(), timers.clock()),
+      history_(crashes::HistoryOptions()),
       gate_(timers, environment.dialect, GateServerOptions(), log, metrics_,
-            traffic_),
+            traffic_, history_, *this),
       pool_(io, timers, environment.dialect, PoolOptionsFrom(settings), gate_),
       dispatcher_(timers, environment.dialect, DispatcherOptionsFrom(settings),
-                  gate_, traffic_, log, metrics_, incarnation),
+                  gate_, traffic_, history_, log, metrics_, incarnation),
       mesh_(io, timers,
             MeshOptionsFrom(settings, incarnation, environment.dialect), *this),
       callers_(io, timers, CallerOptionsFrom(settings), dispatcher_),
@@ -214,6 +225,40 @@
 
 void Node::OnLinkUp(peers::Link& link) {
   log_.Write("peer_up", {{"peer", link.peer()}, {"zone", link.zone()}});
+  if (!history_.empty()) {
+    link.Send(ToFrame(history_.Reports(timers_.Now())));
+  }
+}
+
+void Node::OnCrashReports(const std::vector<crashes::Report>& reports) {
+  peers::CrashReports frame = ToFrame(reports);
+  for (peers::Link* link : mesh_.up_links()) link->Send(frame);
+}
+
+void Node::OnPeerCrashReports(const peers::Link& link,
+                              const peers::CrashReports& frame) {
+  Millis now = timers_.Now();
+  std::vector<crashes::Report> news;
+  for (const peers::CrashReport& row : frame.reports) {
+    crashes::Report report{row.request, row.upstream,
+                           Millis(static_cast<int64_t>(row.age_ms))};
+    if (!history_.Add(report, now)) continue;
+    int crashes = history_.StandingOf(row.request, now).crashes;
+    // After one end all requests that were in progress are suspected, too many
+    // to pass on: the peers of that node have heard of them.
+    if (crashes == 1) continue;
+    log_.Write("crash_reported", {{"request", crashes::ShortName(row.request)},
+                                  {"upstream", row.upstream},
+                                  {"age_ms", row.age_ms},
+                                  {"crashes", crashes},
+                                  {"peer", link.peer()}});
+    news.push_back(std::move(report));
+  }
+  if (news.empty()) return;
+  peers::CrashReports passed_on = ToFrame(news);
+  for (peers::Link* other : mesh_.up_links()) {
+    if (other != &link) other->Send(passed_on);
+  }
 }
 
 void Node::OnLinkSilent(peers::Link& link) {
@@ -243,6 +288,8 @@
     gate_.OnCredit({link.serial(), credit->id}, credit->bytes);
   } else if (auto* cancel = std::get_if<peers::Cancel>(&frame)) {
     gate_.Cancel({link.serial(), cancel->id});
+  } else if (auto* reports = std::get_if<peers::CrashReports>(&frame)) {
+    OnPeerCrashReports(link, *reports);
   } else if (auto* state = std::get_if<peers::State>(&frame)) {
     OnState(link, *state);
   } else if (auto* request = std::get_if<peers::DocumentRequest>(&frame)) {
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -14,6 +14,7 @@
 #include <string>
 #include <vector>
 
+#include "almondwind/crashes/history.h"
 #include "almondwind/loop/timers.h"
 #include "almondwind/peers/mesh.h"
 #include "almondwind/sidecar/caller_server.h"
@@ -36,7 +37,9 @@
   Feed& feed;
 };
 
-class Node : public DocumentsEvents, public peers::MeshEvents {
+class Node : public DocumentsEvents,
+             public peers::MeshEvents,
+             public CrashObserver {
  public:
   Node(boost::asio::io_context& io, loop::Timers& timers,
        const Settings& settings, Environment environment, uint64_t incarnation,
@@ -62,6 +65,8 @@
   void OnFleet() override;
   void OnNews() override;
 
+  void OnCrashReports(const std::vector<crashes::Report>& reports) override;
+
   void OnLinkUp(peers::Link& link) override;
   void OnLinkSilent(peers::Link& link) override;
   void OnLinkDown(peers::Link& link) override;
@@ -78,6 +83,10 @@
   void UpdatePeers(
       const std::map<std::string, std::vector<std::string>>& nodes_by_zone);
   void OnState(peers::Link& link, const peers::State& state);
+  // Adds what a peer reports of crashes, and passes on what its other peers may
+  // not have heard.
+  void OnPeerCrashReports(const peers::Link& link,
+                          const peers::CrashReports& frame);
   http::Response ReadinessPage(const http::Request& request);
   // Pages for operators, at the metrics address: /status, /explain, and the
   // metrics at any other path.
@@ -101,6 +110,7 @@
   Documents documents_;
   Metrics metrics_;
   Traffic traffic_;
+  crashes::History history_;
   GateServer gate_;
   UpstreamPool pool_;
   Dispatcher dispatcher_;
--- a/almondwind/sidecar/testing/crashing_requests_test.cc
+++ b/almondwind/sidecar/testing/crashing_requests_test.cc
@@ -106,4 +106,86 @@
   BOOST_TEST(fleet.Crashes() - before <= kAllowedLater);
 }
 
+// Failure: a harmless request that was in progress as upstreams ended, for
+// whatever reason, was refused from then on.
+BOOST_AUTO_TEST_CASE(a_request_beside_many_crashes_is_served) {
+  Fleet fleet(25520);
+  constexpr const char* kPopular = "/popular";
+  for (const auto& upstream : fleet.upstreams) {
+    upstream->script[0].delay_ms = 100;
+  }
+  for (int round = 0; round < 6; ++round) {
+    std::vector<std::unique_ptr<TestCaller>> callers;
+    for (int i = 0; i < 8; ++i) {
+      callers.push_back(fleet.Call(i % 4));
+      std::string id = "p" + std::to_string(10 * round + i);
+      callers.back()->Send(GetTarget(kPopular, id));
+    }
+    fleet.Run(Millis(50));
+    fleet.upstreams[static_cast<size_t>(round) % 4]->Crash();
+    for (const auto& caller : callers) {
+      fleet.Until([&] { return !caller->answers.empty(); });
+      BOOST_REQUIRE(caller->answers.size() == 1U);
+      BOOST_TEST(caller->answers[0].status == 200);
+    }
+    fleet.Run(kRestartTime);
+  }
+}
+
+// Failure: requests that met the crashing one at the same upstreams were taken
+// for it.
+BOOST_AUTO_TEST_CASE(bystanders_are_served_when_they_come_again) {
+  Fleet fleet(25560);
+  for (const auto& upstream : fleet.upstreams) {
+    upstream->script[0].delay_ms = 100;
+  }
+  for (int round = 0; fleet.Crashes() < 3 && round < 12; ++round) {
+    std::vector<std::unique_ptr<TestCaller>> callers;
+    for (int i = 0; i < 4; ++i) {
+      callers.push_back(fleet.Call(i));
+      std::string id = "b" + std::to_string(10 * round + i);
+      callers.back()->Send(GetTarget("/bystander/" + std::to_string(i), id));
+    }
+    fleet.Ask(round % 4, kCrash);
+    fleet.Run(kRestartTime + Millis(200));
+  }
+  fleet.Run(kStable);
+  for (int i = 0; i < 4; ++i) {
+    BOOST_TEST(fleet.Ask(i, "/bystander/" + std::to_string(i)) == 200);
+  }
+  BOOST_TEST(fleet.Ask(0, kCrash) == 503);
+}
+
+// Failure: an upstream that loses answers, but goes on running, was taken for
+// one that crashes, and the request refused.
+BOOST_AUTO_TEST_CASE(a_lost_answer_is_no_crash) {
+  Fleet fleet(25600);
+  ScriptedResponse good = fleet.upstreams[0]->script[0];
+  for (const auto& upstream : fleet.upstreams) {
+    upstream->script[0] = {"", true, 0};
+  }
+  for (int i = 0; i < 6; ++i) BOOST_TEST(fleet.Ask(i % 4, "/lost") == 502);
+  for (const auto& upstream : fleet.upstreams) upstream->script[0] = good;
+  for (int i = 0; i < 4; ++i) BOOST_TEST(fleet.Ask(i, "/lost") == 200);
+}
+
+// A refusal says that the request has not run, and when it may come again.
+BOOST_AUTO_TEST_CASE(a_refusal_is_told_at_once_with_its_duration) {
+  Fleet fleet(25640);
+  fleet.CrashThree();
+  size_t before = 0;
+  for (const auto& upstream : fleet.upstreams) before += upstream->seen.size();
+  auto caller = fleet.Call(1);
+  caller->Send(GetTarget(kCrash, "last"));
+  BOOST_REQUIRE(
+      fleet.Until([&] { return !caller->answers.empty(); }, Millis(300)));
+  const http::Response& answer = caller->answers[0];
+  BOOST_REQUIRE(answer.status == 503);
+  BOOST_TEST(*answer.headers.Find("X-Reason") == "crashes_upstreams");
+  BOOST_TEST(std::stoi(*answer.headers.Find("Retry-After")) > 250'000);
+  size_t after = 0;
+  for (const auto& upstream : fleet.upstreams) after += upstream->seen.size();
+  BOOST_TEST(after == before);
+}
+
 }  // namespace almondwind::sidecar::testing
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -87,6 +87,7 @@
   std::string crash_target;
   base::Millis restart_time{300};
   int crashes = 0;
+  void Crash();
   // Bytes of its answers that wait to be written.
   size_t unwritten() const;
 
@@ -94,7 +95,6 @@
   class Connection;
 
   void Listen();
-  void Crash();
 
   boost::asio::io_context& io_;
   loop::Timers& timers_;
--- a/almondwind/sidecar/upstream_pool.cc
+++ b/almondwind/sidecar/upstream_pool.cc
@@ -14,6 +14,9 @@
 
 namespace {
 constexpr Millis kIdleCheckInterval{500};
+// A host answers a connection attempt at once, with a refusal if nothing
+// listens. A busy upstream may not answer; that says nothing.
+constexpr Millis kProbeTimeout{100};
 }  // namespace
 
 class UpstreamPool::Connection : public loop::StreamEvents {
@@ -105,7 +108,7 @@
       if (state != http::ReadState::kComplete) {
         bool large = state == http::ReadState::kBodyTooLarge ||
                      state == http::ReadState::kHeaderTooLarge;
-        return Finish(large ? EndKind::kTooLarge : EndKind::kClosed, {}, {});
+        return Finish(large ? EndKind::kTooLarge : EndKind::kUnusable, {}, {});
       }
       http::Response response = reader_.Take();
       ResponseMetadata metadata = pool_.dialect_.ReadAnswer(response);
@@ -113,7 +116,7 @@
         stale_response_seen_ = true;  // late response to an earlier request
         continue;
       }
-      if (MayBeStale(metadata)) return Finish(EndKind::kClosed, {}, {});
+      if (MayBeStale(metadata)) return Finish(EndKind::kUnusable, {}, {});
       return Finish(EndKind::kAnswer, std::move(response), metadata);
     }
   }
@@ -132,7 +135,7 @@
     // before this request's response; the exchange ends instead.
     bool stale = metadata.request_id && *metadata.request_id != request_id_;
     if (stale || MayBeStale(metadata) || ended)
-      return Finish(EndKind::kClosed, {}, {});
+      return Finish(EndKind::kUnusable, {}, {});
     keep_alive_ = response.keep_alive;
     if (metadata.idle_limit) SetIdleLimit(*metadata.idle_limit);
     stream_->PauseReading();
@@ -204,6 +207,32 @@
   bool reusable() const { return stream_ != nullptr && stream_->open(); }
 };
 
+class UpstreamPool::Prober : public loop::StreamEvents {
+ public:
+  explicit Prober(UpstreamPool& pool)
+      : pool_(pool), started_(pool.timers_.Now()) {
+    loop::StreamOptions options;
+    options.dial_timeout = kProbeTimeout;
+    stream_ = loop::Stream::Dial(pool.io_, pool.timers_, pool.endpoint_,
+                                 options, *this);
+  }
+  Prober(const Prober&) = delete;
+  Prober& operator=(const Prober&) = delete;
+  ~Prober() override { stream_->Close(); }
+
+  void OnConnected() override { pool_.OnProbed(/*refused=*/false); }
+  void OnData(std::string_view) override {}
+  void OnEnd(StreamEnd end) override {
+    bool in_time = pool_.timers_.Now() - started_ < kProbeTimeout;
+    pool_.OnProbed(end == StreamEnd::kUnreachable && in_time);
+  }
+
+ private:
+  UpstreamPool& pool_;
+  const Millis started_;
+  loop::StreamPtr stream_;
+};
+
 UpstreamPool::UpstreamPool(boost::asio::io_context& io, loop::Timers& timers,
                            const Dialect& dialect,
                            const UpstreamPoolOptions& options,
@@ -289,6 +318,16 @@
   Erase(*connection);
 }
 
+void UpstreamPool::Probe() {
+  if (prober_ == nullptr) prober_ = std::make_unique<Prober>(*this);
+}
+
+void UpstreamPool::OnProbed(bool refused) {
+  // The prober is on the call stack, and the event may begin another probe.
+  std::unique_ptr<Prober> ended = std::move(prober_);
+  events_.OnUpstreamProbed(refused);
+}
+
 void UpstreamPool::OnEnd(Connection& connection, EndKind kind,
                          http::Response response,
                          const ResponseMetadata& metadata) {
--- a/almondwind/sidecar/upstream_pool.h
+++ b/almondwind/sidecar/upstream_pool.h
@@ -30,6 +30,7 @@
 #include <boost/asio/io_context.hpp>
 #include <cstdint>
 #include <list>
+#include <memory>
 #include <string>
 #include <unordered_map>
 
@@ -74,6 +75,8 @@
                               peers::BodyEnd end) = 0;
   // All bytes given to SendBody so far have been written.
   virtual void OnUpstreamDrained(uint64_t exchange) = 0;
+  // The outcome of Probe. `refused`: nothing listens at the upstream's address.
+  virtual void OnUpstreamProbed(bool refused) = 0;
 };
 
 class UpstreamPool {
@@ -98,6 +101,9 @@
   void PauseBody(uint64_t exchange);
   void ResumeBody(uint64_t exchange);
   void Cancel(uint64_t exchange);
+  // Dials the upstream to learn whether its process is there, and closes the
+  // connection. Does nothing if a probe is under way.
+  void Probe();
   void CloseIdle();
 
   size_t open() const { return connections_.size(); }
@@ -105,6 +111,7 @@
 
  private:
   class Connection;
+  class Prober;
   using Connections = std::list<Connection>;
 
   Connection* Find(uint64_t exchange) const;
@@ -113,6 +120,7 @@
   void OnEnd(Connection& connection, base::EndKind kind,
              http::Response response, const ResponseMetadata& metadata);
   void OnBodyEnd(Connection& connection, std::string bytes, peers::BodyEnd end);
+  void OnProbed(bool refused);
   void Release(Connection& connection);
   void SweepIdle();
 
@@ -125,6 +133,7 @@
   Connections connections_;
   std::unordered_map<uint64_t, Connection*> busy_;
   loop::Timer sweep_;
+  std::unique_ptr<Prober> prober_;
   uint64_t dialed_ = 0;
 };
 
