--- a/almondwind/sidecar/node_status.cc
+++ b/almondwind/sidecar/node_status.cc
@@ -33,6 +33,7 @@
       {"config_version", config_version()},
       {"fleet_revision", documents_.view().revision().number},
       {"store_epoch", documents_.view().revision().epoch},
+      {"crash_suspects", history_.size()},
       {"upstreams", documents_.view().upstreams().size()},
       {"store_watch",
        base::NameOf(fleet::kWatchModeNames, documents_.watch_mode())},
