View: do not add an entry that has been removed since

A store's answer to this node may be older than what its peers have told: an upstream that was removed, or that came and went meanwhile, was added again and stayed, as its removal was not delivered twice. An unknown entry that is older than the view is now left out; lists still add all that they hold. The test fails on the code before in three checks.

--- a/almondwind/fleet/testing/view_test.cc
+++ b/almondwind/fleet/testing/view_test.cc
@@ -160,6 +160,25 @@
   BOOST_TEST(view.revision() == At(9));
 }
 
+// Failure: an upstream that had left was used again for good, because the
+// store's answer to this node was older than what its peers had told of the
+// removal.
+BOOST_AUTO_TEST_CASE(a_late_entry_does_not_come_back_after_its_removal) {
+  View view({});
+  view.Replace({Entry("a", 1), Entry("x", 5, true)}, At(5), Millis(1000));
+  // Peers tell of the removal, and of y, which came and went meanwhile.
+  Changes changes;
+  changes.since = At(5);
+  changes.revision = At(8);
+  changes.removals = {{"x", At(7)}, {"y", At(8)}};
+  view.Apply(changes, Millis(1000));
+  BOOST_TEST(!view.Put(Entry("x", 6)));
+  BOOST_TEST(!view.Put(Entry("y", 6)));
+  BOOST_TEST(view.upstreams().size() == 1U);
+  BOOST_TEST(view.Put(Entry("x", 9)));
+  BOOST_TEST(view.upstreams().count("x") == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(changes_with_a_gap_before_them_are_not_applied) {
   View view({});
   view.Replace({Entry("a", 1)}, At(4), Millis(1000));
--- a/almondwind/fleet/view.cc
+++ b/almondwind/fleet/view.cc
@@ -29,7 +29,7 @@
     Upstream entry = upstream;
     entry.doubted = new_epoch && HasLeftSince(entry);
     entry.draining = entry.draining || entry.doubted;
-    changed = Put(entry) || changed;
+    changed = Store(entry) || changed;
     if (entry.doubted) doubts_[entry.id] = now + options_.doubt_delay;
   }
   std::vector<std::string> missing;
@@ -61,6 +61,14 @@
 }
 
 bool View::Put(const Upstream& upstream) {
+  bool known = upstreams_.count(upstream.id) != 0;
+  if (!known && revision_.known() && upstream.revision <= revision_) {
+    return false;
+  }
+  return Store(upstream);
+}
+
+bool View::Store(const Upstream& upstream) {
   Upstream& known = upstreams_[upstream.id];
   if (upstream.revision < known.revision) return false;
   pending_removals_.erase(upstream.id);
--- a/almondwind/fleet/view.h
+++ b/almondwind/fleet/view.h
@@ -104,7 +104,8 @@
   // whether anything changed.
   bool Replace(const std::vector<Upstream>& upstreams, const Revision& revision,
                base::Millis now);
-  // Adds or updates one upstream, unless the known entry is newer. Returns
+  // Adds or updates one upstream, unless the known entry is newer, or the entry
+  // is unknown and older than the view: then it has been removed since. Returns
   // whether anything but the revision changed.
   bool Put(const Upstream& upstream);
   // Handles the removal of an entry from the store: removes a draining upstream
@@ -152,6 +153,8 @@
  private:
   static constexpr size_t kMaxRemovals = 512;
 
+  // Adds or updates one upstream, unless the known entry is newer.
+  bool Store(const Upstream& upstream);
   // Returns whether this node knows that the upstream has left since it was as
   // `entry` says.
   bool HasLeftSince(const Upstream& entry) const;
