View: pass a new list on whole

By reading, beside the restored store: after a list that the store had to send anew (its history was gone), a view told a peer only what had changed in the entries it knew. An upstream that came and went before that list stayed with the peer for good. A peer that is behind a list now gets the complete list. The test fails on the code before.

--- a/almondwind/fleet/testing/view_test.cc
+++ b/almondwind/fleet/testing/view_test.cc
@@ -179,6 +179,21 @@
   BOOST_TEST(view.upstreams().count("x") == 1U);
 }
 
+// Failure: a peer kept an upstream for good that came and went between its view
+// and a list that the store had to send anew, as the list does not name it.
+BOOST_AUTO_TEST_CASE(a_new_list_is_passed_on_whole) {
+  View view({});
+  View peer({});
+  view.Replace({Entry("a", 1)}, At(4), Millis(1000));
+  peer.Replace({Entry("a", 1)}, At(4), Millis(1000));
+  peer.Put(Entry("y", 6, true));
+  peer.Advance(At(6));
+  view.Replace({Entry("a", 1)}, At(9), Millis(1000));
+  peer.Apply(view.ChangesSince(peer.revision()), Millis(1000));
+  BOOST_TEST(peer.revision() == At(9));
+  BOOST_TEST(peer.upstreams().count("y") == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(changes_with_a_gap_before_them_are_not_applied) {
   View view({});
   view.Replace({Entry("a", 1)}, At(4), Millis(1000));
--- a/almondwind/fleet/view.cc
+++ b/almondwind/fleet/view.cc
@@ -21,7 +21,8 @@
                    const Revision& revision, Millis now) {
   if (revision <= revision_ && revision_.known()) return false;
   bool new_epoch = revision.epoch != revision_.epoch || !revision_.known();
-  if (new_epoch) removals_complete_from_ = revision;
+  // What came and went before this list is not known.
+  removals_complete_from_ = revision;
   bool changed = false;
   std::set<std::string> present;
   for (const Upstream& upstream : upstreams) {
