--- a/almondwind/crashes/history.h
+++ b/almondwind/crashes/history.h
@@ -37,7 +37,7 @@
   // within seconds.
   base::Millis suspicion{60'000};
   // How long a request is refused. Its cause lasts until the software of the
-  // upstreams is replaced, and each later trial may end one more.
+  // upstreams is replaced, and each run after this time may end one more.
   base::Millis refusal{300'000};
   size_t max_requests = 256;
 };
