--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -12,9 +12,9 @@
 // cancelled and the caller gets a 504 without waiting for it.
 //
 // A request that has crashed several upstreams is refused (crashes/history.h).
-// One under which DispatcherOptions::max_ended_upstreams upstreams have ended is
-// not retried: it may be what ended them. Most requests that were in progress
-// beside it are served by the second upstream.
+// One under which DispatcherOptions::max_ended_upstreams upstreams have ended
+// is not retried: it may be what ended them. Most requests that were in
+// progress beside it are served by the second upstream.
 //
 // Bodies too large to buffer are streamed. A request is not retried once part
 // of its streamed body has been sent, because that part is no longer held. If a
