Log when a node falls behind, asks for a document, or was paused

The logs said when a node learned of a departure, but not since when it knew that there was something newer, whom it asked, and that it had not run meanwhile. New lines document_behind (once for each change that it lacks), document_requested (with the time behind), node_paused. No change of behaviour.

--- a/almondwind/sidecar/documents.cc
+++ b/almondwind/sidecar/documents.cc
@@ -11,6 +11,16 @@
 using base::Millis;
 using fleet::WatchMode;
 
+namespace {
+
+// Time between two calls of UpdateWatch from which on this node was paused:
+// several times their interval.
+constexpr Millis kPauseThreshold{1000};
+
+constexpr base::Names<2> kDocumentNames = {"config", "fleet"};
+
+}  // namespace
+
 Documents::Documents(loop::Timers& timers, const DocumentsOptions& options,
                      const ConfigFormat& format, Feed& feed, EventLog& log,
                      DocumentsEvents& events)
@@ -32,6 +42,7 @@
 }
 
 void Documents::UpdateWatch() {
+  NotePause();
   WatchMode mode = election_.Mode(timers_.Now());
   if (mode != mode_) {
     log_.Write("store_watch",
@@ -49,6 +60,15 @@
   feed_.Watch(mode, complete_revision_);
 }
 
+void Documents::NotePause() {
+  Millis now = timers_.Now();
+  Millis before = std::exchange(last_update_, now);
+  if (before == Millis(0) || now - before < kPauseThreshold) return;
+  log_.Write("node_paused", {{"paused_ms", (now - before).count()},
+                             {"revision", view_.revision().number},
+                             {"config", config_version()}});
+}
+
 // ---- From the store.
 
 void Documents::OnConfig(const std::string& document) {
@@ -287,12 +307,27 @@
   if (newer.newest <= ours) newer.since = Millis(0);
   newer.newest = std::max(newer.newest, theirs);
   if (theirs <= ours) return;
-  if (newer.since == Millis(0)) newer.since = now;
+  if (newer.since == Millis(0)) {
+    newer.since = now;
+    log_.Write("document_behind",
+               {{"document", base::NameOf(kDocumentNames, kind)},
+                {"newest", theirs.number},
+                {"revision", ours.number},
+                {"epoch", ours.epoch},
+                {"peer", link.peer()},
+                {"zone", link.zone()}});
+  }
   bool reads_store = mode_ != WatchMode::kNone;
   bool wait = ours.known() && (reads_store || link.zone() != options_.zone);
   if (wait && now - newer.since < options_.behind_delay) return;
   if (now - newer.requested_at < options_.request_interval) return;
   newer.requested_at = now;
+  log_.Write("document_requested",
+             {{"document", base::NameOf(kDocumentNames, kind)},
+              {"behind_ms", (now - newer.since).count()},
+              {"revision", ours.number},
+              {"peer", link.peer()},
+              {"zone", link.zone()}});
   link.Send(peers::DocumentRequest{static_cast<uint8_t>(kind), ours});
 }
 
--- a/almondwind/sidecar/documents.h
+++ b/almondwind/sidecar/documents.h
@@ -122,6 +122,8 @@
   UpstreamState StateOf(const fleet::Upstream& upstream) const;
   void ScheduleSweep();
   void SweepView();
+  // Logs the time in which this node did not run, if it was paused.
+  void NotePause();
   void RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
                        NewerVersion& newer,
                        const peers::DocumentVersion& theirs,
@@ -150,6 +152,7 @@
   NewerVersion newer_config_;
   NewerVersion newer_fleet_;
   loop::Timer sweep_;
+  base::Millis last_update_{0};  // of the watch
 };
 
 }  // namespace almondwind::sidecar
