Failing tests: departures known late, and outages that were none

late_departures: a zone whose readers get no answers learns of a departure 1.0 to 1.6 s after the first node; 0.8 s allowed. false_outages: watches that the store holds, and a pause of the node itself, are taken for an outage of the store, so an upstream that has left is used for 2.2 s more; the limit is 2 s in all.

--- /dev/null
+++ b/almondwind/sidecar/testing/late_departures_test.cc
@@ -0,0 +1,106 @@
+// Tests of the time after which the last node stops using an upstream that has
+// left.
+
+#define BOOST_TEST_MODULE sidecar_late_departures
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <thread>
+
+#include "almondwind/sidecar/testing/world.h"
+
+namespace almondwind::sidecar::testing {
+namespace {
+
+using base::Millis;
+
+// Within this time of the first node, all nodes learn of a departure.
+constexpr Millis kSpreadBound{800};
+// The same until they stop using an upstream that has not marked itself as
+// draining.
+constexpr Millis kRemovalDelay{400};
+// Between an acknowledged departure and the last request for the upstream.
+constexpr Millis kDrainLimit{2000};
+
+// Nodes in several zones. The upstream of the last node leaves.
+struct Fleet : World {
+  Fleet(int count, int port, int zones) : World(count, port, zones) {
+    for (int i = 0; i < count; ++i) Publish(i, "1 s 1000 safe 2");
+    BOOST_REQUIRE(Until([&] {
+      bool linked = true;
+      for (const auto& node : nodes) {
+        linked = linked && node->peers_up() + 1 == nodes.size();
+      }
+      return linked;
+    }));
+    ConfirmAll();
+    Run(Millis(700));
+    ConfirmAll();
+  }
+  FeedEvents& feed(size_t i) { return *feeds[i]->events; }
+  // The store answers all nodes that nothing has changed.
+  void ConfirmAll() {
+    for (size_t i = 0; i < nodes.size(); ++i) feed(i).OnRevision({1, 2});
+  }
+  // The store reports to node `i` that the entry of the leaving upstream was
+  // removed.
+  void Remove(size_t i) {
+    feed(i).OnUpstreamGone("u" + std::to_string(nodes.size() - 1), {1, 3});
+    feed(i).OnRevision({1, 3});
+  }
+  // Returns whether the leaving upstream gets any of some requests, that all
+  // nodes receive.
+  bool LeavingIsUsed() {
+    const std::vector<http::Request>& seen = upstreams.back()->seen;
+    size_t before = seen.size();
+    std::vector<std::unique_ptr<TestCaller>> callers;
+    for (size_t i = 0; i < 10 * nodes.size(); ++i) {
+      callers.push_back(Call(static_cast<int>(i % nodes.size())));
+      callers.back()->Send(Get("r" + std::to_string(i)));
+    }
+    for (const auto& caller : callers) {
+      Until([&] { return !caller->answers.empty() || caller->ended; });
+    }
+    return seen.size() > before;
+  }
+};
+
+}  // namespace
+
+// Failure: nodes of a zone whose readers get no answers learned of a departure
+// up to 1.6 s after the first node, since they waited for a delay and then for
+// another report before they asked another zone.
+BOOST_AUTO_TEST_CASE(a_zone_without_readers_learns_of_a_departure_in_time) {
+  Fleet fleet(4, 25400, /*zones=*/2);
+  BOOST_TEST(fleet.LeavingIsUsed());
+  fleet.Remove(0);
+  fleet.Run(kSpreadBound + kRemovalDelay);
+  BOOST_TEST(!fleet.LeavingIsUsed());
+}
+
+// Failure: an upstream that had left was used for 2.2 s more, because watches
+// that the store had held were taken for an outage.
+BOOST_AUTO_TEST_CASE(held_watches_are_no_outage,
+                     *boost::unit_test::label("false_outages")) {
+  Fleet fleet(3, 25440, /*zones=*/3);
+  fleet.Run(Millis(2800));
+  for (size_t i : {0, 1, 2}) fleet.Remove(i);
+  fleet.Run(kDrainLimit - Millis(100));
+  BOOST_TEST(!fleet.LeavingIsUsed());
+}
+
+// Failure: the same because of the time in which the nodes themselves did not
+// run.
+BOOST_AUTO_TEST_CASE(a_pause_of_the_node_is_no_outage,
+                     *boost::unit_test::label("false_outages")) {
+  Fleet fleet(3, 25480, /*zones=*/3);
+  std::this_thread::sleep_for(std::chrono::milliseconds(2800));
+  for (size_t i : {0, 1, 2}) {
+    fleet.feed(i).OnAvailable(false, "no answer in time");
+    fleet.feed(i).OnAvailable(true, "watch answered");
+    fleet.Remove(i);
+  }
+  fleet.Run(kDrainLimit - Millis(100));
+  BOOST_TEST(!fleet.LeavingIsUsed());
+}
+
+}  // namespace almondwind::sidecar::testing
