Ask another zone for a change after a short delay of its own

Callers saw requests reach an upstream 2.0 s after it had said that it leaves.

Cause: each delay on the way of a change had a reason of its own, and nothing held their sum against the limit. A node whose zone did not deliver waited 0.6 s from the first report of anything newer, and then for another report before it asked; a request within 0.3 s of the last one was dropped until the next report as well.

Change: fleet/change_budget.h states all delays on the way, and the store client, the mesh and the view take their defaults from there: 0.5 s to the first node, 0.8 s to all others, 0.4 s until an unmarked removal counts; 1.7 s in all, 1.3 s for a configuration. fleet::CatchUp decides when a node asks; a timer asks, not the next report. The nodes of a zone ask other zones one after another, 50 ms apart and 0.2 s at most, and tell their zone what they got, so a change still crosses to a zone once or twice.

--- a/almondwind/fleet/reader_election.cc
+++ b/almondwind/fleet/reader_election.cc
@@ -49,8 +49,8 @@
   size_t rank = Rank(/*readable_only=*/true);
   if (rank == 0) return WatchMode::kShort;
   if (rank < options_.readers) return WatchMode::kLong;
-  auto turn = static_cast<int64_t>(Rank(/*readable_only=*/false));
-  Millis limit = options_.confirmation_limit + options_.stagger * turn;
+  Millis limit = options_.confirmation_limit +
+                 options_.stagger * static_cast<int64_t>(turn());
   return now - confirmed_at_ > limit ? WatchMode::kShort : WatchMode::kNone;
 }
 
--- a/almondwind/fleet/reader_election.h
+++ b/almondwind/fleet/reader_election.h
@@ -67,6 +67,9 @@
   void OnConfirmed(base::Millis at);
 
   WatchMode Mode(base::Millis now) const;
+  // Returns the number of linked peers before this node in the order of the
+  // hash.
+  size_t turn() const { return Rank(/*readable_only=*/false); }
   bool can_read() const { return can_read_; }
   base::Millis confirmed_at() const { return confirmed_at_; }
 
--- a/almondwind/fleet/view.h
+++ b/almondwind/fleet/view.h
@@ -37,6 +37,7 @@
 #include <vector>
 
 #include "almondwind/base/clock.h"
+#include "almondwind/fleet/change_budget.h"
 #include "almondwind/fleet/revision.h"
 
 namespace almondwind::fleet {
@@ -82,12 +83,11 @@
 
 struct ViewOptions {
   // How long an entry that was removed without draining is kept: normally, and
-  // after an outage of the store, counted from the store's return. The normal
-  // delay is what the platform's drain limit of 2 s leaves after the longest
-  // way of a change to a node (1.6 s: a pause of its reader, the wait before
-  // other peers are asked, and a report). The delay after an outage exceeds the
-  // 2 s within which the platform restores expired entries.
-  base::Millis removal_delay{400};
+  // after an outage of the store, counted from the store's return. The delay
+  // after an outage exceeds the 2 s within which the platform restores expired
+  // entries. It is longer than the platform's limit for departures, which does
+  // not apply so soon after an outage.
+  base::Millis removal_delay = kRemovalDelay;
   base::Millis recovery_removal_delay{2200};
   // How long a departure is remembered against an entry that the restored store
   // lists: until the platform would have removed the entry of a silent
--- a/almondwind/peers/mesh.h
+++ b/almondwind/peers/mesh.h
@@ -33,6 +33,7 @@
 #include <string>
 #include <vector>
 
+#include "almondwind/fleet/change_budget.h"
 #include "almondwind/loop/acceptor.h"
 #include "almondwind/loop/stream.h"
 #include "almondwind/loop/timers.h"
@@ -47,7 +48,7 @@
   std::string zone;
   uint64_t incarnation = 0;
   HeaderNames header_names;
-  base::Millis heartbeat_interval{500};
+  base::Millis heartbeat_interval = fleet::kReportInterval;
   // Allows for three heartbeats and a retransmission.
   base::Millis silence_timeout{1800};
   // Longer than most requests may take.
--- a/almondwind/sidecar/documents.cc
+++ b/almondwind/sidecar/documents.cc
@@ -19,6 +19,8 @@
 
 constexpr base::Names<2> kDocumentNames = {"config", "fleet"};
 
+bool CanAsk(const peers::Link& link) { return link.up() && !link.silent(); }
+
 }  // namespace
 
 Documents::Documents(loop::Timers& timers, const DocumentsOptions& options,
@@ -33,6 +35,8 @@
       view_(options.view),
       election_(options.election, options.address),
       outage_(options.outage),
+      config_fetch_(options.catch_up, timers),
+      fleet_fetch_(options.catch_up, timers),
       sweep_(timers) {}
 
 void Documents::Start() { feed_.Start(*this); }
@@ -279,10 +283,8 @@
                 timers_.Now() - Millis(state.epoch_age_ms), "peer");
   }
   using Kind = peers::DocumentKind;
-  RequestIfBehind(link, Kind::kConfig, newer_config_, {0, state.config_version},
-                  ConfigDocumentVersion());
-  RequestIfBehind(link, Kind::kFleet, newer_fleet_, state.fleet_revision,
-                  view_.revision());
+  OnVersion(link, Kind::kConfig, {0, state.config_version});
+  OnVersion(link, Kind::kFleet, state.fleet_revision);
   bool has_all = state.config_version <= config_version() &&
                  state.confirmed_revision <= view_.revision();
   if (!state.confirmed_revision.known() || !has_all) return;
@@ -294,21 +296,27 @@
   election_.RemovePeer(link.peer());
 }
 
-// A reader of the store, or the own zone, delivers a newer document soon, so
-// only a follower asks its zone immediately. A peer may be as outdated as this
-// node, so the delay counts from when the newest version known of any peer
-// became newer than this node's. A node without any version asks whoever has
-// one.
-void Documents::RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
-                                NewerVersion& newer,
-                                const peers::DocumentVersion& theirs,
-                                const peers::DocumentVersion& ours) {
+peers::DocumentVersion Documents::VersionOf(peers::DocumentKind kind) const {
+  if (kind == peers::DocumentKind::kFleet) return view_.revision();
+  return {0, config_version()};
+}
+
+Documents::Fetch& Documents::FetchOf(peers::DocumentKind kind) {
+  return kind == peers::DocumentKind::kFleet ? fleet_fetch_ : config_fetch_;
+}
+
+// The own zone is asked at once. Other zones are asked only if the own zone
+// does not deliver the document first; a node without any version asks whoever
+// has one.
+void Documents::OnVersion(peers::Link& link, peers::DocumentKind kind,
+                          const peers::DocumentVersion& theirs) {
   Millis now = timers_.Now();
-  if (newer.newest <= ours) newer.since = Millis(0);
-  newer.newest = std::max(newer.newest, theirs);
-  if (theirs <= ours) return;
-  if (newer.since == Millis(0)) {
-    newer.since = now;
+  Fetch& fetch = FetchOf(kind);
+  peers::DocumentVersion ours = VersionOf(kind);
+  bool at_once = !ours.known() || link.zone() == options_.zone;
+  Millis delay = at_once ? Millis(0) : fleet::AskDelay(election_.turn());
+  if (fetch.catch_up.OnReported(theirs, ours, delay, now)) {
+    fetch.sources.clear();
     log_.Write("document_behind",
                {{"document", base::NameOf(kDocumentNames, kind)},
                 {"newest", theirs.number},
@@ -317,18 +325,49 @@
                 {"peer", link.peer()},
                 {"zone", link.zone()}});
   }
-  bool reads_store = mode_ != WatchMode::kNone;
-  bool wait = ours.known() && (reads_store || link.zone() != options_.zone);
-  if (wait && now - newer.since < options_.behind_delay) return;
-  if (now - newer.requested_at < options_.request_interval) return;
-  newer.requested_at = now;
-  log_.Write("document_requested",
-             {{"document", base::NameOf(kDocumentNames, kind)},
-              {"behind_ms", (now - newer.since).count()},
-              {"revision", ours.number},
-              {"peer", link.peer()},
-              {"zone", link.zone()}});
-  link.Send(peers::DocumentRequest{static_cast<uint8_t>(kind), ours});
+  if (theirs <= ours) return;
+  peers::LinkPtr source(&link);
+  if (std::find(fetch.sources.begin(), fetch.sources.end(), source) ==
+      fetch.sources.end()) {
+    // Of several, the own zone costs nothing.
+    if (link.zone() == options_.zone) {
+      fetch.sources.push_front(source);
+    } else {
+      fetch.sources.push_back(source);
+    }
+  }
+  RequestIfDue(kind);
+}
+
+void Documents::RequestIfDue(peers::DocumentKind kind) {
+  Millis now = timers_.Now();
+  Fetch& fetch = FetchOf(kind);
+  peers::DocumentVersion ours = VersionOf(kind);
+  if (fetch.catch_up.ShouldAsk(ours, now)) {
+    while (!fetch.sources.empty() && !CanAsk(*fetch.sources.front())) {
+      fetch.sources.pop_front();
+    }
+    if (!fetch.sources.empty()) {
+      // If it does not answer, another one is asked.
+      peers::LinkPtr source = fetch.sources.front();
+      fetch.sources.pop_front();
+      fetch.sources.push_back(source);
+      log_.Write("document_requested",
+                 {{"document", base::NameOf(kDocumentNames, kind)},
+                  {"behind_ms", (now - fetch.catch_up.since()).count()},
+                  {"revision", ours.number},
+                  {"peer", source->peer()},
+                  {"zone", source->zone()}});
+      source->Send(peers::DocumentRequest{static_cast<uint8_t>(kind), ours});
+    }
+  }
+  if (!fetch.catch_up.behind()) {
+    fetch.sources.clear();
+    fetch.timer.Stop();
+    return;
+  }
+  fetch.timer.Start(std::max(Millis(1), fetch.catch_up.due() - now),
+                    [this, kind] { RequestIfDue(kind); });
 }
 
 void Documents::OnRequest(peers::Link& link,
@@ -336,7 +375,7 @@
   peers::Document document;
   document.kind = request.kind;
   if (request.kind == static_cast<uint8_t>(peers::DocumentKind::kConfig)) {
-    document.version = ConfigDocumentVersion();
+    document.version = VersionOf(peers::DocumentKind::kConfig);
     if (document.version <= request.known_version) return;
     document.text = config_document_;
   } else {
@@ -348,17 +387,21 @@
   link.Send(document);
 }
 
-void Documents::OnDocument(const peers::Document& document) {
+void Documents::OnDocument(const peers::Link& link,
+                           const peers::Document& document) {
+  bool applied = false;
   if (document.kind == static_cast<uint8_t>(peers::DocumentKind::kConfig)) {
-    ApplyConfig(document.text, "peer");
-    return;
-  }
-  try {
-    fleet::Changes changes = fleet::DecodeChanges(document.text);
-    if (view_.Apply(changes, timers_.Now())) OnViewChanged("peer");
-  } catch (const base::Error& e) {
-    log_.Write("unreadable", {{"key", "peer's changes"}, {"why", e.what()}});
+    applied = ApplyConfig(document.text, "peer");
+  } else {
+    try {
+      fleet::Changes changes = fleet::DecodeChanges(document.text);
+      applied = view_.Apply(changes, timers_.Now());
+      if (applied) OnViewChanged("peer");
+    } catch (const base::Error& e) {
+      log_.Write("unreadable", {{"key", "peer's changes"}, {"why", e.what()}});
+    }
   }
+  if (applied && link.zone() != options_.zone) events_.OnNews();
 }
 
 }  // namespace almondwind::sidecar
--- a/almondwind/sidecar/documents.h
+++ b/almondwind/sidecar/documents.h
@@ -16,10 +16,12 @@
 #ifndef ALMONDWIND_SIDECAR_DOCUMENTS_H_
 #define ALMONDWIND_SIDECAR_DOCUMENTS_H_
 
+#include <deque>
 #include <map>
 #include <string>
 #include <vector>
 
+#include "almondwind/fleet/catch_up.h"
 #include "almondwind/fleet/outage_detector.h"
 #include "almondwind/fleet/reader_election.h"
 #include "almondwind/fleet/view.h"
@@ -36,11 +38,7 @@
   fleet::ElectionOptions election;
   fleet::OutageOptions outage;
   fleet::ViewOptions view;
-  // How long a newer document may be known to exist before peers are asked for
-  // it that are not expected to deliver it first.
-  base::Millis behind_delay{600};
-  // Minimum time between two requests for a document.
-  base::Millis request_interval{300};
+  fleet::CatchUpOptions catch_up;
 };
 
 class DocumentsEvents {
@@ -48,7 +46,8 @@
   virtual ~DocumentsEvents() = default;
   virtual void OnTable(const routes::RouteTablePtr& table) = 0;
   virtual void OnFleet() = 0;
-  // A newer document came from the store, which peers of the zone lack.
+  // A newer document came from the store or another zone; peers of the own zone
+  // lack it.
   virtual void OnNews() = 0;
 };
 
@@ -74,7 +73,7 @@
   void OnState(peers::Link& link, const peers::State& state);
   void OnLinkDown(const peers::Link& link);
   void OnRequest(peers::Link& link, const peers::DocumentRequest& request);
-  void OnDocument(const peers::Document& document);
+  void OnDocument(const peers::Link& link, const peers::Document& document);
 
   void OnConfig(const std::string& document) override;
   void OnUpstreams(const std::vector<fleet::Upstream>& upstreams,
@@ -89,12 +88,14 @@
   void OnUnreadable(const std::string& key, const std::string& why) override;
 
  private:
-  // The newest version of a document that any peer has reported, for fetching
-  // it while this node's own is older.
-  struct NewerVersion {
-    peers::DocumentVersion newest;
-    base::Millis since{0};
-    base::Millis requested_at{0};
+  // Fetches a document that peers have a newer version of.
+  struct Fetch {
+    Fetch(const fleet::CatchUpOptions& options, loop::Timers& timers)
+        : catch_up(options), timer(timers) {}
+    fleet::CatchUp catch_up;
+    // Links to peers that have reported it, the next to be asked first.
+    std::deque<peers::LinkPtr> sources;
+    loop::Timer timer;
   };
 
   // State of an upstream as this node believes it.
@@ -112,9 +113,6 @@
   void OnStoreAnswered(base::Millis at);
   // The store answered this node or a peer in `epoch` at time `at`.
   void OnEpochSeen(uint64_t epoch, base::Millis at, const char* source);
-  peers::DocumentVersion ConfigDocumentVersion() const {
-    return {0, config_version()};
-  }
   bool ApplyConfig(const std::string& document, const std::string& source);
   // `source` of the change, for the log: "store", "peer" or "sweep".
   void OnViewChanged(const char* source);
@@ -124,10 +122,14 @@
   void SweepView();
   // Logs the time in which this node did not run, if it was paused.
   void NotePause();
-  void RequestIfBehind(peers::Link& link, peers::DocumentKind kind,
-                       NewerVersion& newer,
-                       const peers::DocumentVersion& theirs,
-                       const peers::DocumentVersion& ours);
+  peers::DocumentVersion VersionOf(peers::DocumentKind kind) const;
+  Fetch& FetchOf(peers::DocumentKind kind);
+  // A peer has reported its version of a document.
+  void OnVersion(peers::Link& link, peers::DocumentKind kind,
+                 const peers::DocumentVersion& theirs);
+  // Requests the document if that is due, and sets the time of the next
+  // request.
+  void RequestIfDue(peers::DocumentKind kind);
 
   loop::Timers& timers_;
   const DocumentsOptions options_;
@@ -149,8 +151,8 @@
   uint64_t epoch_ = 0;
   base::Millis epoch_since_{0};
   bool news_ = false;  // changes from the store have not been told to peers
-  NewerVersion newer_config_;
-  NewerVersion newer_fleet_;
+  Fetch config_fetch_;
+  Fetch fleet_fetch_;
   loop::Timer sweep_;
   base::Millis last_update_{0};  // of the watch
 };
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -295,7 +295,7 @@
   } else if (auto* request = std::get_if<peers::DocumentRequest>(&frame)) {
     documents_.OnRequest(link, *request);
   } else if (auto* document = std::get_if<peers::Document>(&frame)) {
-    documents_.OnDocument(*document);
+    documents_.OnDocument(link, *document);
   } else {
     dispatcher_.OnFrame(std::move(frame));
   }
