Take only failures of readers in several zones for an outage

Callers saw requests reach an upstream 2.0 s after it had said that it leaves. After an outage of the store, vanished entries are kept for 2.2 s, longer than the limit for departures. Nodes began that after each time of 1.5 s without an answer to any node: in a compaction of the store, which holds its watches for a second, and after a pause of the node itself.

Cause: an outage was inferred from missing answers alone.

Change: fleet::OutageDetector wants two signs: no answer to any node, and readers of two zones (or of all) for which the store fails meanwhile; the time in which this node did not run does not count, nor does one so short that no entry can expire in it (1.6 heartbeats). A watch that is not answered in time is no failure yet: the client reads the store's revision, and lists all items if that is newer, so departures are known while watches are held. Readers tell all peers at once when the store begins to fail. New log lines store_unanswered and store_watch_unanswered.

--- a/almondwind/fleet/testing/view_test.cc
+++ b/almondwind/fleet/testing/view_test.cc
@@ -206,28 +206,48 @@
   BOOST_TEST(view.upstreams().size() == 1U);
 }
 
-// An outage is when the store answers no node. It ends with the first answer to
-// any node, whenever this node learns of that answer. What one node misses
-// while others are answered is no outage.
+// An outage is when the store answers no node and fails for readers of several
+// zones. It ends with the first answer to any node, whenever this node learns
+// of that answer. What one node misses while others are answered is no outage,
+// nor is a time without answers in which no reader failed, nor one in which
+// this node did not run.
 BOOST_AUTO_TEST_CASE(only_a_store_that_answers_nobody_is_away) {
   struct Row {
     int64_t answered_at;
+    std::vector<std::string> failing;  // zones, 100 ms before
     bool returned;
   };
   const Row rows[] = {
-      {1000, false},  // the first answer: nothing is known of before
-      {2300, false},  // the longest time between two answers in calm
-      {2100, false},  // an older answer of another node, told late
-      {3800, false},  // exactly the limit
-      {5301, true},   // no node was answered for longer
-      {5200, false},  // a slower reader tells of the same return
-      {6500, false},
+      {1000, {}, false},  // the first answer: nothing is known of before
+      {2300, {}, false},  // the longest time between two in calm
+      {2100, {"a", "b"}, false},  // an older one of another node, told late
+      {3800, {"a", "b"}, false},  // exactly the limit
+      {5301, {"a", "b"}, true},   // no node was answered for longer
+      {5200, {"a", "b"}, false},  // a slower reader tells of the same return
+      {6500, {}, false},           {8700, {}, false},  // watches were held
+      {10'900, {"a"}, false},                          // one zone had trouble
+      {13'100, {"a", "a"}, false}, {15'300, {"c", "a"}, true},
+      {17'500, {}, false},  // the failures of before do not count again
   };
   OutageDetector detector({});
+  detector.SetZones(3);
   for (const Row& row : rows) {
+    for (const std::string& zone : row.failing) {
+      detector.OnFailing(zone, Millis(row.answered_at - 100));
+    }
     BOOST_TEST(detector.OnAnswered(Millis(row.answered_at)) == row.returned,
                row.answered_at);
   }
+  detector.OnFailing("a", Millis(19'000));
+  detector.OnFailing("b", Millis(19'000));
+  detector.OnPaused(Millis(19'600));
+  BOOST_TEST(!detector.OnAnswered(Millis(19'700)));
+  // Where there is one zone, it decides.
+  OutageDetector single({});
+  single.SetZones(1);
+  BOOST_TEST(!single.OnAnswered(Millis(1000)));
+  single.OnFailing("a", Millis(1500));
+  BOOST_TEST(single.OnAnswered(Millis(2501)));
   // The delay counts from the return, not from when it became known.
   View view({});
   view.Replace({Entry("a", 1)}, At(4), Millis(1000));
--- a/almondwind/sidecar/documents.cc
+++ b/almondwind/sidecar/documents.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <utility>
 
 #include "almondwind/fleet/changes_format.h"
@@ -13,8 +14,8 @@
 
 namespace {
 
-// Time between two calls of UpdateWatch from which on this node was paused:
-// several times their interval.
+// Time without any event from which on this node was paused. UpdateWatch alone
+// is called several times in it.
 constexpr Millis kPauseThreshold{1000};
 
 constexpr base::Names<2> kDocumentNames = {"config", "fleet"};
@@ -66,8 +67,9 @@
 
 void Documents::NotePause() {
   Millis now = timers_.Now();
-  Millis before = std::exchange(last_update_, now);
+  Millis before = std::exchange(last_ran_, now);
   if (before == Millis(0) || now - before < kPauseThreshold) return;
+  outage_.OnPaused(now);
   log_.Write("node_paused", {{"paused_ms", (now - before).count()},
                              {"revision", view_.revision().number},
                              {"config", config_version()}});
@@ -100,6 +102,7 @@
 }
 
 void Documents::OnRevision(const fleet::Revision& revision) {
+  NotePause();
   view_.Advance(revision);
   complete_revision_ = std::max(complete_revision_, revision);
   OnStoreAnswered(timers_.Now());
@@ -145,20 +148,33 @@
 // may answer the others, and then what it says of departures holds.
 void Documents::OnStoreAnswered(Millis at) {
   Millis before = outage_.last_answer();
-  if (!outage_.OnAnswered(at)) return;
-  view_.OnStoreReturned(at);
-  log_.Write("store_outage",
+  bool unanswered = outage_.Unanswered(at);
+  size_t failing_zones = outage_.FailingZones();
+  bool returned = outage_.OnAnswered(at);
+  if (!unanswered) return;
+  if (returned) view_.OnStoreReturned(at);
+  log_.Write(returned ? "store_outage" : "store_unanswered",
              {{"answered_none_ms", (at - before).count()},
+              {"failing_zones", failing_zones},
               {"ended_ms_ago", (timers_.Now() - at).count()},
               {"next_removal_in_ms", view_.UntilSweep(timers_.Now()).count()}});
 }
 
 void Documents::OnAvailable(bool available, const std::string& why) {
+  NotePause();
   election_.SetCanRead(available);
+  if (!available) outage_.OnFailing(options_.zone, timers_.Now());
   log_.Write(available ? "store_back" : "store_lost",
              {{"why", why},
               {"revision", view_.revision().number},
               {"epoch", view_.revision().epoch}});
+  events_.OnStoreAvailability();
+}
+
+void Documents::OnWatchUnanswered(const fleet::Revision& revision) {
+  log_.Write("store_watch_unanswered", {{"store_revision", revision.number},
+                                        {"revision", view_.revision().number},
+                                        {"epoch", revision.epoch}});
 }
 
 void Documents::OnUnreadable(const std::string& key, const std::string& why) {
@@ -194,6 +210,11 @@
 }
 
 void Documents::OnViewChanged(const char* source) {
+  std::set<std::string_view> zones;
+  for (const auto& [id, upstream] : view_.upstreams()) {
+    zones.insert(upstream.zone);
+  }
+  outage_.SetZones(zones.size());
   events_.OnFleet();
   LogUpstreamStates(source);
   ScheduleSweep();
@@ -275,6 +296,8 @@
   if (link.zone() == options_.zone) {
     election_.SetPeer(link.peer(), state.can_read_store && !state.leaving);
   }
+  NotePause();
+  if (!state.can_read_store) outage_.OnFailing(link.zone(), timers_.Now());
   if (state.confirmed_revision.known()) {
     OnStoreAnswered(timers_.Now() - Millis(state.confirmed_age_ms));
   }
--- a/almondwind/sidecar/documents.h
+++ b/almondwind/sidecar/documents.h
@@ -49,6 +49,8 @@
   // A newer document came from the store or another zone; peers of the own zone
   // lack it.
   virtual void OnNews() = 0;
+  // The store has begun to fail for this node, or answers again.
+  virtual void OnStoreAvailability() = 0;
 };
 
 class Documents : public FeedEvents {
@@ -85,6 +87,7 @@
   void OnEpoch(const fleet::Revision& revision) override;
   void OnListed(const fleet::Revision& revision, bool stale) override;
   void OnAvailable(bool available, const std::string& why) override;
+  void OnWatchUnanswered(const fleet::Revision& revision) override;
   void OnUnreadable(const std::string& key, const std::string& why) override;
 
  private:
@@ -120,7 +123,7 @@
   UpstreamState StateOf(const fleet::Upstream& upstream) const;
   void ScheduleSweep();
   void SweepView();
-  // Logs the time in which this node did not run, if it was paused.
+  // Takes the time in which this node did not run out of account.
   void NotePause();
   peers::DocumentVersion VersionOf(peers::DocumentKind kind) const;
   Fetch& FetchOf(peers::DocumentKind kind);
@@ -154,7 +157,7 @@
   Fetch config_fetch_;
   Fetch fleet_fetch_;
   loop::Timer sweep_;
-  base::Millis last_update_{0};  // of the watch
+  base::Millis last_ran_{0};  // this node, as far as this class knows
 };
 
 }  // namespace almondwind::sidecar
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -86,6 +86,10 @@
   // All items have been listed, as of `revision` of the store at the least.
   virtual void OnListed(const fleet::Revision& revision, bool stale) = 0;
   virtual void OnAvailable(bool available, const std::string& why) = 0;
+  // A watch was not answered in time, though the store answers reads: it is at
+  // `revision`. If that is newer than what has been delivered, the complete
+  // list follows.
+  virtual void OnWatchUnanswered(const fleet::Revision& revision) = 0;
   // An entry or document cannot be parsed. It is ignored.
   virtual void OnUnreadable(const std::string& key, const std::string& why) = 0;
 };
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -67,6 +67,10 @@
   DocumentsOptions o;
   o.address = s.links;
   o.zone = s.zone;
+  // No entry expires in a shorter outage: it takes that many heartbeats of
+  // silence, of which one may have passed before. Heartbeats come up to a fifth
+  // early or late.
+  o.outage.silence = s.heartbeat * (kHeartbeatsUntilLapse - 1) * 4 / 5;
   o.view.doubt_delay = s.heartbeat * kHeartbeatsUntilLapse + kLapseMargin;
   return o;
 }
@@ -171,6 +175,8 @@
 
 void Node::OnNews() { mesh_.BroadcastState(settings_.zone); }
 
+void Node::OnStoreAvailability() { mesh_.BroadcastState(); }
+
 void Node::UpdateDirectory() {
   std::map<std::string, std::vector<zones::HostEntry>> by_service;
   std::map<std::string, std::vector<std::string>> nodes_by_zone;
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -64,6 +64,7 @@
   void OnTable(const routes::RouteTablePtr& table) override;
   void OnFleet() override;
   void OnNews() override;
+  void OnStoreAvailability() override;
 
   void OnCrashReports(const std::vector<crashes::Report>& reports) override;
 
