Tests: copies of refusals, and answers that break off anywhere

A copy with the id of the earlier request is skipped, one without an id on a connection that had a request before ends the exchange as unknown, bytes between two requests end the connection, and a request never comes to the same upstream twice, so that a copy cannot have its id. A head that breaks off is malformed, whatever is missing.

Tests, in faults: an_earlier_refusal_is_not_the_next_requests_answer (four places of the copy, named and unnamed), a_refused_request_does_not_come_to_an_upstream_again, an_answer_that_breaks_off_anywhere_is_no_success (three framings, cut at every byte). All passed at once. On scratch copies they fail: the first with MayBeStale off, the second with the list of tried machines off.

--- a/almondwind/sidecar/testing/faults_test.cc
+++ b/almondwind/sidecar/testing/faults_test.cc
@@ -21,6 +21,12 @@
          "\r\n\r\n" + body;
 }
 
+// A refusal that says that the request has not run.
+std::string Refusal(const std::string& id_field) {
+  return "HTTP/1.1 503 No\r\n" + id_field +
+         "Not-Run: 1\r\nContent-Length: 0\r\n\r\n";
+}
+
 struct Cluster : World {
   Cluster(int count, int port, const std::string& document,
           bool relayed = false)
@@ -255,4 +261,98 @@
   BOOST_TEST(world.Ask(Get("a"))->answers.at(0).status == 200);
 }
 
+// Failure: a faulty upstream wrote an earlier refusal once more on a kept
+// connection, and the caller was told "not run" of a request that the upstream
+// ran, or the request ran a second time.
+BOOST_AUTO_TEST_CASE(an_earlier_refusal_is_not_the_next_requests_answer) {
+  enum class Copy : uint8_t { kAtOnce, kLater, kWithAnswer, kBeforeAnswer };
+  struct Row {
+    const char* what;
+    Copy copy;
+  };
+  const Row rows[] = {{"behind the refusal", Copy::kAtOnce},
+                      {"between two requests", Copy::kLater},
+                      {"with the next answer", Copy::kWithAnswer},
+                      {"while the next one runs", Copy::kBeforeAnswer}};
+  int port = 23700;
+  for (const Row& row : rows) {
+    for (const char* id_field : {"Id: a\r\n", ""}) {
+      Cluster world(1, port, "1 s 1000 unsafe 2");
+      port += 20;
+      std::string refusal = Refusal("Id: a\r\n");
+      std::string copy = Refusal(id_field);
+      std::string answer = Sealed("Id: b\r\n", "two");
+      ScriptedResponse first{refusal, false, 0};
+      ScriptedResponse second{answer, false, 0};
+      switch (row.copy) {
+        case Copy::kAtOnce:
+          first.answer = refusal + copy;
+          break;
+        case Copy::kLater:
+          first.then = copy;
+          first.then_delay_ms = 20;
+          break;
+        case Copy::kWithAnswer:
+          second.answer = copy + answer;
+          break;
+        case Copy::kBeforeAnswer:
+          second = {copy, false, 0, "", answer, 50};
+          break;
+      }
+      TestUpstream& upstream = *world.upstreams[0];
+      upstream.script = {first, second, {answer, false, 0}};
+      BOOST_TEST(world.Ask(Post("a", "order"))->answers.at(0).status == 503);
+      if (row.copy == Copy::kLater) world.Run(Millis(60));
+      auto next = world.Ask(Post("b", "order"));
+      BOOST_REQUIRE(next->answers.size() == 1U);
+      // "Unknown" is true where the answer cannot be told from the copy.
+      bool own = next->answers[0].body == "two";
+      BOOST_TEST((own || next->answers[0].status == 502),
+                 row.what << " " << id_field);
+      BOOST_TEST(upstream.seen.size() == 2U, row.what << " " << id_field);
+    }
+  }
+}
+
+// The refusal of an attempt, once more, would answer another attempt of the
+// same request on that connection, as both have one id. So no upstream gets a
+// request twice.
+BOOST_AUTO_TEST_CASE(a_refused_request_does_not_come_to_an_upstream_again) {
+  int port = 23880;
+  for (const char* document : {"1 s 1000 safe 4", "1 s 1000 unsafe 4"}) {
+    Cluster world(2, port, document);
+    port += 30;
+    for (const auto& upstream : world.upstreams) {
+      upstream->script = {{Refusal("Id: a\r\n"), false, 0}};
+    }
+    BOOST_TEST(world.Ask(Post("a", "order"))->answers.at(0).status == 503);
+    for (const auto& upstream : world.upstreams) {
+      BOOST_TEST(upstream->seen.size() == 1U, document);
+    }
+  }
+}
+
+// Failure: an upstream stopped in the middle of its answer's head and closed,
+// and the caller got a success with an empty or short body that looked whole.
+BOOST_AUTO_TEST_CASE(an_answer_that_breaks_off_anywhere_is_no_success) {
+  const std::string answers[] = {
+      "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n2\r\nok\r\n0\r\n\r\n",
+      "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nId: a\r\nSeal: s\r\n"
+      "Content-Length: 2\r\n\r\nok",
+  };
+  int port = 23950;
+  for (const std::string& answer : answers) {
+    Cluster world(1, port, "1 s 1000 safe 2");
+    port += 20;
+    for (size_t size = 0; size < answer.size(); ++size) {
+      world.upstreams[0]->script = {{answer.substr(0, size), true, 0}};
+      auto caller = world.Ask(Get("a"));
+      BOOST_REQUIRE(caller->answers.size() == 1U);
+      BOOST_TEST(caller->answers[0].status == 502, size);
+    }
+  }
+}
+
 }  // namespace almondwind::sidecar::testing
--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -111,6 +111,11 @@
       running_ = false;
       stream_->Write(response.answer);
       if (response.close) stream_->CloseAfterWrites();
+      if (!response.then.empty()) {
+        delay_.Start(Millis(response.then_delay_ms),
+                     [this, response] { stream_->Write(response.then); });
+        return;
+      }
       endless_ = response.endless;
       if (!endless_.empty()) WriteEndless();
     });
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -63,6 +63,8 @@
   bool close = false;  // close the connection after the answer
   int64_t delay_ms = 0;
   std::string endless = {};  // repeated after the answer until the node closes
+  std::string then = {};     // written some time after the answer
+  int64_t then_delay_ms = 0;
 };
 
 // An upstream that follows `script` in order (the last entry repeats) and
