Refuse queued requests when their upstream leaves

Callers would see requests reach an upstream for up to half of their deadline after it had said that it leaves.

Cause: a gate that closed refused new requests only, and went on starting those in its queue.

Change: Gate::RefuseQueued; the gate of a leaving upstream refuses what waits, unrun, and the nodes that sent it choose another upstream. A node that only stops itself lets its upstream run them as before.

--- a/almondwind/machines/gate.cc
+++ b/almondwind/machines/gate.cc
@@ -251,6 +251,16 @@
 
 void Gate::Leave() { leaving_ = true; }
 
+void Gate::RefuseQueued(Reason reason, Millis now) {
+  for (Queue& queue : queues_) {
+    while (!queue.empty()) {
+      RunPtr run = Pop(queue);
+      Refuse(*run, reason);
+    }
+  }
+  RelaxFloor(now);
+}
+
 void Gate::Join(Millis now, bool cold) {
   leaving_ = false;
   ramping_ = cold;
--- a/almondwind/machines/gate.h
+++ b/almondwind/machines/gate.h
@@ -92,6 +92,8 @@
   void Tick(base::Millis now);
   // Starts draining: new runs are refused, running and queued runs continue.
   void Leave();
+  // Refuses all queued runs.
+  void RefuseQueued(base::Reason reason, base::Millis now);
   // Stops draining and admits runs again. If `cold`, the limit is ramped up.
   void Join(base::Millis now, bool cold);
   // Limits the runs that start per second; nullopt: no limit.
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -160,6 +160,9 @@
                                {"upstream_started_at", started_at_}});
   }
   gate_->Leave();
+  // An upstream that leaves gets no new requests. If only this node stops, its
+  // upstream may still run those that wait.
+  if (!stopping_) gate_->RefuseQueued(Reason::kLeaving, timers_.Now());
 }
 
 void GateServer::OpenGate(bool cold) {
@@ -264,12 +267,13 @@
                                const ResponseMetadata& metadata) {
   auto it = runs_.find(exchange);
   if (it == runs_.end()) return;
-  machines::RunPtr run = it->second.run;
-  if (kind == EndKind::kAnswer) OnAnnouncement(it->second, metadata);
+  GateRun& gate_run = it->second;
+  machines::RunPtr run = gate_run.run;
+  if (kind == EndKind::kAnswer) OnAnnouncement(gate_run, metadata);
   Millis now = timers_.Now();
   peers::Answer answer = AnswerFor(kind, std::move(response), metadata);
   if (answer.outcome == static_cast<uint8_t>(Outcome::kAnswered)) {
-    OnCompleted(it->second);
+    OnCompleted(gate_run);
   }
   bool completed = answer.status / 100 == 2;
   observer_.OnRunEnded(exchange, completed, now - run->started);
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -187,12 +187,13 @@
   void Tick();
   http::Request UpstreamRequest(const GateRun& run, base::Millis left) const;
   void LogEnd(const GateRun& run, const peers::Answer& answer) const;
-  // Stops accepting new requests because the upstream leaves. `why`, for the
-  // log: "draining", "not_listed", "announced" or "stopping".
   void OnAnnouncement(const GateRun& run, const ResponseMetadata& metadata);
   // Makes the gate keep what is announced. `source`, for the log: "response" or
   // "peer".
   void ApplyAnnouncement(const char* source);
+  // Stops accepting new requests because the upstream leaves, and refuses those
+  // that wait. `why`, for the log: "draining", "not_listed", "announced" or
+  // "stopping".
   void CloseGate(const char* why);
   void OpenGate(bool cold);
 
--- a/almondwind/sidecar/testing/late_departures_test.cc
+++ b/almondwind/sidecar/testing/late_departures_test.cc
@@ -77,6 +77,36 @@
   BOOST_TEST(!fleet.LeavingIsUsed());
 }
 
+// Failure: requests that waited in the queue of a gate were sent to its
+// upstream for up to half of their deadline after it had said that it leaves.
+BOOST_AUTO_TEST_CASE(a_queue_does_not_outlive_the_departure) {
+  World world(2, 25520);
+  for (int i : {0, 1}) world.Publish(i, "1 s 8000 safe 2");
+  BOOST_REQUIRE(world.Until([&] { return world.nodes[0]->peers_up() == 1; }));
+  for (const auto& upstream : world.upstreams) {
+    upstream->script[0].delay_ms = 700;
+  }
+  // Fills both upstreams, and the queues of both gates.
+  std::vector<std::unique_ptr<TestCaller>> callers;
+  for (int i = 0; i < 12; ++i) {
+    callers.push_back(world.Call(i % 2));
+    callers.back()->Send(Get("r" + std::to_string(i), 8000));
+  }
+  world.Run(Millis(200));
+  std::vector<http::Request>& seen = world.upstreams[0]->seen;
+  BOOST_TEST(seen.size() == 4U);
+  fleet::Upstream leaving = world.List()[0];
+  leaving.draining = true;
+  leaving.revision = {1, 3};
+  for (int i : {0, 1}) world.feeds[i]->events->OnUpstream(leaving);
+  for (const auto& caller : callers) {
+    BOOST_TEST(world.Until([&] { return !caller->answers.empty(); }));
+  }
+  BOOST_TEST(seen.size() == 4U);
+  // Those that waited were served by the other upstream, or refused at once.
+  BOOST_TEST(world.upstreams[1]->seen.size() >= 6U);
+}
+
 // Failure: an upstream that had left was used for 2.2 s more, because watches
 // that the store had held were taken for an outage.
 BOOST_AUTO_TEST_CASE(held_watches_are_no_outage,
