Do not dial peers from a mesh that was closed

Peers see links to a process that ends 40 ms later; what they send on them is lost.

Cause: Mesh::Close did not hold against SetTargets, which each new list of upstreams calls.

--- a/almondwind/peers/mesh.cc
+++ b/almondwind/peers/mesh.cc
@@ -158,6 +158,7 @@
 }
 
 void Mesh::SetTargets(const std::vector<std::string>& addresses) {
+  if (closed_) return;
   std::map<std::string, Target> targets;
   for (const std::string& address : addresses) {
     if (address == options_.address) continue;
@@ -320,6 +321,7 @@
 }
 
 void Mesh::Close() {
+  closed_ = true;
   if (acceptor_ != nullptr) acceptor_->Close();
   heartbeat_timer_.Stop();
   dial_timer_.Stop();
--- a/almondwind/peers/mesh.h
+++ b/almondwind/peers/mesh.h
@@ -142,6 +142,7 @@
   void BroadcastState();
   // Sends it to the peers in `zone` only.
   void BroadcastState(const std::string& zone);
+  // Closes all links. No peer is dialed from now on.
   void Close();
   // Returns all links that are up and not silent.
   std::vector<Link*> up_links() const;
@@ -179,6 +180,7 @@
   std::map<uint64_t, Link*> by_serial_;  // links that are up
   base::Millis last_heartbeat_{0};
   uint64_t next_serial_ = 1;
+  bool closed_ = false;
 };
 
 }  // namespace almondwind::peers
--- a/almondwind/sidecar/testing/late_departures_test.cc
+++ b/almondwind/sidecar/testing/late_departures_test.cc
@@ -133,4 +133,20 @@
   BOOST_TEST(!fleet.LeavingIsUsed());
 }
 
+// Failure: a removal that was due after the end of a planned stop made the node
+// dial all its peers again, and its process was still there at the end of the
+// grace time.
+BOOST_AUTO_TEST_CASE(a_node_that_has_stopped_dials_no_peer) {
+  Fleet fleet(3, 25560, /*zones=*/1);
+  bool stopped = false;
+  fleet.nodes[0]->Stop([&stopped](bool) { stopped = true; });
+  fleet.Run(Millis(2100));
+  BOOST_REQUIRE(!stopped);
+  fleet.Remove(0);
+  BOOST_REQUIRE(fleet.Until([&stopped] { return stopped; }));
+  fleet.Run(kRemovalDelay + Millis(200));
+  BOOST_TEST(fleet.nodes[0]->peers_up() == 0U);
+  BOOST_TEST(fleet.nodes[1]->peers_up() == 1U);
+}
+
 }  // namespace almondwind::sidecar::testing
