Hear of a departure from the upstream itself

Callers saw requests reach an upstream 2.0 s after it had said that it leaves, at a gate beside it that had not heard.

Change: machines::LeavingDetector. After three closing answers in a row, a second after the last answer that kept its connection, the gate asks the health page once; 503 (but not a refusal for load) closes the gate until the page says otherwise. An upstream that leaves serves on meanwhile, and the list normally comes first, so the page is asked only where it does not. change_budget states the second and holds it against the limit.

--- a/almondwind/fleet/change_budget.h
+++ b/almondwind/fleet/change_budget.h
@@ -32,6 +32,11 @@
 // kept in use, in case it is restored.
 constexpr base::Millis kRemovalDelay{400};
 
+// How long the gate beside an upstream that itself says that it leaves waits
+// for the list of upstreams to say so (machines/leaving_detector.h). The
+// upstream serves on meanwhile.
+constexpr base::Millis kOwnSignDelay{1000};
+
 // From the change to the first node that knows it.
 constexpr base::Millis TimeToFirstNode() { return kWatchPause; }
 // From the first node to the last.
--- a/almondwind/fleet/testing/change_budget_test.cc
+++ b/almondwind/fleet/testing/change_budget_test.cc
@@ -14,6 +14,7 @@
 #include "almondwind/fleet/catch_up.h"
 #include "almondwind/fleet/view.h"
 #include "almondwind/peers/mesh.h"
+#include "almondwind/sidecar/gate_server.h"
 #include "platform/store_client.h"
 
 namespace almondwind::fleet {
@@ -124,12 +125,18 @@
   BOOST_TEST(TimeToOtherNodes().count() <= kSpreadLimit.count());
   BOOST_TEST((TimeInForce() + kReserve).count() <= kApplyLimit.count());
   BOOST_TEST((TimeToLastUse() + kReserve).count() <= kDrainLimit.count());
+  // An upstream that says itself that it leaves, where no list comes.
+  BOOST_TEST(
+      (kOwnSignDelay + sidecar::GateServerOptions().health_timeout + kReserve)
+          .count() <= kDrainLimit.count());
   // The components use these delays.
   BOOST_TEST(platform::StoreClientOptions().batch_delay.count() <=
              kWatchPause.count());
   BOOST_TEST(peers::MeshOptions().heartbeat_interval.count() <=
              kReportInterval.count());
   BOOST_TEST(ViewOptions().removal_delay.count() <= kRemovalDelay.count());
+  BOOST_TEST(sidecar::GateServerOptions().leaving.delay.count() <=
+             kOwnSignDelay.count());
   for (size_t turn : {0, 1, 2, 3, 100, 10'000}) {
     BOOST_TEST(AskDelay(turn).count() <= kMaxAskDelay.count(), turn);
   }
--- a/almondwind/sidecar/environment.h
+++ b/almondwind/sidecar/environment.h
@@ -43,7 +43,8 @@
   bool encoded = false;         // the body was re-encoded on the way
   // Requests per second that the upstream takes from all nodes together.
   std::optional<double> rate;
-  bool leaving = false;  // the upstream is going to shut down
+  bool leaving = false;                 // the upstream is going to shut down
+  std::optional<std::string> upstream;  // id of the upstream that responds
   // Keep-alive timeout of the connection, if the upstream announces one.
   std::optional<base::Millis> idle_limit;
 };
--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -21,6 +21,8 @@
 // Slots assumed until the upstream's entry is known.
 constexpr int kDefaultSlots = 16;
 constexpr int kMaxConnections = 1024;
+// Exchange of a health probe with the upstream; runs have others.
+constexpr uint64_t kHealthExchange = 0;
 
 peers::Answer NotRun(Reason reason) {
   peers::Answer answer;
@@ -82,6 +84,8 @@
       observer_(observer),
       gate_(std::make_unique<machines::Gate>(kDefaultSlots, kMaxConnections,
                                              options.gate, *this)),
+      leaving_(options.leaving),
+      health_timer_(timers),
       slots_(kDefaultSlots),
       tick_(timers),
       history_(history),
@@ -94,6 +98,7 @@
   if (upstream == nullptr) {
     // It was listed before and is no longer: it has been shut down.
     if (started_at_ != 0) CloseGate("not_listed");
+    listed_ = false;
     return;
   }
   bool restarted = upstream->started_at != started_at_;
@@ -107,10 +112,15 @@
                                              options_.gate, *this);
     gate_->SetRate(tracker_.current().rate, timers_.Now());
   }
+  if (restarted) leaving_.Reset();
+  listed_ = !upstream->draining;
+  address_ = upstream->address;
   if (tracker_.current().leaving) {
     CloseGate("announced");
   } else if (upstream->draining) {
     CloseGate("draining");
+  } else if (leaving_.leaving()) {
+    CloseGate("health");
   } else if (!stopping_ && (restarted || gate_->leaving())) {
     OpenGate(upstream->cold_left > Millis(0));
   }
@@ -130,14 +140,74 @@
   if (tracker_.current().upstream.empty() && !metadata.wrong_upstream) {
     tracker_.SetUpstream(run.call.upstream, 0);
   }
-  bool own = !metadata.wrong_upstream &&
-             run.call.upstream == tracker_.current().upstream;
-  if (own && tracker_.OnResponse(run.run->started, metadata.rate,
-                                 metadata.leaving, timers_.Now())) {
+  if (IsOwn(run, metadata) &&
+      tracker_.OnResponse(run.run->started, metadata.rate, metadata.leaving,
+                          timers_.Now())) {
     ApplyAnnouncement("response");
   }
 }
 
+bool GateServer::IsOwn(const GateRun& run,
+                       const ResponseMetadata& metadata) const {
+  return !metadata.wrong_upstream &&
+         run.call.upstream == tracker_.current().upstream;
+}
+
+void GateServer::OnAnswerOf(const GateRun& run, const http::Response& response,
+                            const ResponseMetadata& metadata) {
+  OnAnnouncement(run, metadata);
+  if (!IsOwn(run, metadata)) return;
+  leaving_.OnAnswer(!response.keep_alive, timers_.Now());
+  ProbeHealthIfDue();
+}
+
+// An upstream that is known to leave, or a node that stops, needs no probe.
+void GateServer::ProbeHealthIfDue() {
+  bool needed = listed_ && !stopping_ && !tracker_.current().leaving;
+  if (health_path_.empty() || !needed) return;
+  if (!leaving_.ShouldProbe(timers_.Now())) return;
+  http::Request request;
+  request.method = "GET";
+  request.target = health_path_;
+  request.headers.Add("Host", address_);
+  health_timer_.Start(options_.health_timeout, [this] {
+    pool_->Cancel(kHealthExchange);
+    OnHealth(EndKind::kClosed, {}, {});
+  });
+  pool_->Send(kHealthExchange, request, /*request_id=*/"",
+              /*idempotent=*/true);
+}
+
+void GateServer::OnHealth(EndKind kind, const http::Response& response,
+                          const ResponseMetadata& metadata) {
+  bool own = kind == EndKind::kAnswer && !metadata.wrong_upstream &&
+             metadata.upstream.value_or(tracker_.current().upstream) ==
+                 tracker_.current().upstream;
+  machines::Health health = machines::Health::kUnknown;
+  if (own && response.status == 200) {
+    health = machines::Health::kServing;
+  } else if (own && response.status == 503 && !metadata.not_run) {
+    // A full upstream refuses the probe like any other request.
+    health = machines::Health::kNotServing;
+  }
+  Millis now = timers_.Now();
+  bool changed = leaving_.OnHealth(health, now);
+  log_.Write("upstream_health",
+             {{"upstream", tracker_.current().upstream},
+              {"health", base::NameOf(machines::kHealthNames, health)},
+              {"status", response.status},
+              {"leaving", leaving_.leaving()},
+              {"listed", listed_}});
+  health_timer_.Stop();
+  if (leaving_.leaving()) {
+    health_timer_.Start(leaving_.next_probe() - now,
+                        [this] { ProbeHealthIfDue(); });
+  }
+  if (!changed || !listed_ || stopping_) return;
+  if (leaving_.leaving()) return CloseGate("health");
+  if (!tracker_.current().leaving) OpenGate(/*cold=*/false);
+}
+
 void GateServer::ApplyAnnouncement(const char* source) {
   const machines::Announcement& announced = tracker_.current();
   gate_->SetRate(announced.rate, timers_.Now());
@@ -265,11 +335,12 @@
 void GateServer::OnUpstreamEnd(uint64_t exchange, EndKind kind,
                                http::Response response,
                                const ResponseMetadata& metadata) {
+  if (exchange == kHealthExchange) return OnHealth(kind, response, metadata);
   auto it = runs_.find(exchange);
   if (it == runs_.end()) return;
   GateRun& gate_run = it->second;
   machines::RunPtr run = gate_run.run;
-  if (kind == EndKind::kAnswer) OnAnnouncement(gate_run, metadata);
+  if (kind == EndKind::kAnswer) OnAnswerOf(gate_run, response, metadata);
   Millis now = timers_.Now();
   peers::Answer answer = AnswerFor(kind, std::move(response), metadata);
   if (answer.outcome == static_cast<uint8_t>(Outcome::kAnswered)) {
@@ -510,7 +581,7 @@
   auto it = runs_.find(exchange);
   if (it == runs_.end()) return;
   GateRun& gate_run = it->second;
-  OnAnnouncement(gate_run, metadata);
+  OnAnswerOf(gate_run, response, metadata);
   peers::Answer answer =
       AnswerFor(EndKind::kAnswer, std::move(response), metadata);
   bool passed_on = answer.outcome == static_cast<uint8_t>(Outcome::kAnswered);
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -18,6 +18,9 @@
 // while one that is suspected of it runs, no other such request does, so that
 // the next end tells which of them it was.
 //
+// An upstream that leaves is recognized by its own answers and its health page
+// too (machines/leaving_detector.h), in case the list of upstreams comes late.
+//
 // A body too large for one frame is streamed. For a request body, credit is
 // granted for as many bytes as have been written to the upstream; a response
 // body is read only while the sender of the call has granted credit.
@@ -37,8 +40,10 @@
 #include <vector>
 
 #include "almondwind/crashes/history.h"
+#include "almondwind/fleet/change_budget.h"
 #include "almondwind/machines/announcement.h"
 #include "almondwind/machines/gate.h"
+#include "almondwind/machines/leaving_detector.h"
 #include "almondwind/peers/frames.h"
 #include "almondwind/sidecar/environment.h"
 #include "almondwind/sidecar/event_log.h"
@@ -104,6 +109,14 @@
   // Time in which the connections of an upstream that ended are all seen to
   // end.
   base::Millis end_window{20};
+  machines::LeavingDetectorOptions leaving = [] {
+    machines::LeavingDetectorOptions o;
+    o.delay = fleet::kOwnSignDelay;
+    return o;
+  }();
+  // Time in which the health page must answer: the page of an upstream in use
+  // takes one of its slots for a few ms.
+  base::Millis health_timeout{500};
 };
 
 class GateServer : public machines::GateEvents, public UpstreamPoolEvents {
@@ -118,6 +131,8 @@
 
   // Applies the published entry of the upstream; null if it is not listed.
   void SetUpstream(const fleet::Upstream* upstream);
+  // Sets the path of the upstream's health page; empty: it has none.
+  void SetHealthPath(const std::string& path) { health_path_ = path; }
   void Offer(const CallKey& key, peers::Call call, Reply reply);
   // The sender no longer waits for the answer. A queued request is refused. A
   // running one is aborted if it is idempotent or one of its bodies is
@@ -187,13 +202,21 @@
   void Tick();
   http::Request UpstreamRequest(const GateRun& run, base::Millis left) const;
   void LogEnd(const GateRun& run, const peers::Answer& answer) const;
+  // Whether a response is of the known upstream.
+  bool IsOwn(const GateRun& run, const ResponseMetadata& metadata) const;
   void OnAnnouncement(const GateRun& run, const ResponseMetadata& metadata);
+  // An upstream's answer has come; probes its health page if that is due.
+  void OnAnswerOf(const GateRun& run, const http::Response& response,
+                  const ResponseMetadata& metadata);
+  void ProbeHealthIfDue();
+  void OnHealth(base::EndKind kind, const http::Response& response,
+                const ResponseMetadata& metadata);
   // Makes the gate keep what is announced. `source`, for the log: "response" or
   // "peer".
   void ApplyAnnouncement(const char* source);
   // Stops accepting new requests because the upstream leaves, and refuses those
-  // that wait. `why`, for the log: "draining", "not_listed", "announced" or
-  // "stopping".
+  // that wait. `why`, for the log: "draining", "not_listed", "announced",
+  // "health" or "stopping".
   void CloseGate(const char* why);
   void OpenGate(bool cold);
 
@@ -206,8 +229,13 @@
   UpstreamPool* pool_ = nullptr;
   std::unique_ptr<machines::Gate> gate_;
   machines::AnnouncementTracker tracker_;
+  machines::LeavingDetector leaving_;
+  std::string health_path_;
+  std::string address_;       // of the upstream
+  loop::Timer health_timer_;  // bounds a probe, or begins the next
   int slots_ = 0;
   int64_t started_at_ = 0;  // start time of the current upstream process
+  bool listed_ = false;     // as ready, in the newest list
   bool stopping_ = false;
   base::Millis closed_at_{0};  // while the gate is closed
   std::unordered_map<uint64_t, GateRun> runs_;
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -166,6 +166,15 @@
 void Node::OnTable(const routes::RouteTablePtr& table) {
   dispatcher_.SetTable(table);
   traffic_.SetTable(table);
+  UpdateHealthPath();
+}
+
+void Node::UpdateHealthPath() {
+  if (documents_.table() == nullptr) return;
+  const auto& services = documents_.table()->services();
+  auto service = services.find(settings_.service);
+  gate_.SetHealthPath(service == services.end() ? std::string()
+                                                : service->second.health_path);
 }
 
 void Node::OnFleet() {
@@ -428,6 +437,7 @@
     settings_.retry_budget = settings.retry_budget;
     settings_.stop_grace = settings.stop_grace;
     dispatcher_.SetService(settings.service);
+    UpdateHealthPath();
     dispatcher_.retry_budget().Configure(settings.retry_budget);
     pool_.SetAddress(settings.upstream);
     gate_.SetUpstream(documents_.view().AtAddress(settings.upstream));
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -80,6 +80,8 @@
 
  private:
   void UpdateDirectory();
+  // Tells the gate where the upstream has its health page.
+  void UpdateHealthPath();
   // Chooses the peers to link to from the addresses of all nodes by zone.
   void UpdatePeers(
       const std::map<std::string, std::vector<std::string>>& nodes_by_zone);
--- a/almondwind/sidecar/testing/late_departures_test.cc
+++ b/almondwind/sidecar/testing/late_departures_test.cc
@@ -107,6 +107,55 @@
   BOOST_TEST(world.upstreams[1]->seen.size() >= 6U);
 }
 
+// Failure: an upstream that had said that it leaves got requests until the list
+// of upstreams came, though each of its answers closed the connection and its
+// health page said that it does not serve.
+BOOST_AUTO_TEST_CASE(a_gate_hears_of_a_departure_from_its_upstream) {
+  World world(2, 25600);
+  for (int i : {0, 1}) world.Publish(i, "1 s 1000 safe 2");
+  BOOST_REQUIRE(world.Until([&] { return world.nodes[0]->peers_up() == 1; }));
+  auto ask = [&world](int count) {
+    std::vector<std::unique_ptr<TestCaller>> callers;
+    for (int i = 0; i < count; ++i) {
+      callers.push_back(world.Call(i % 2));
+      callers.back()->Send(Get("r" + std::to_string(i)));
+      BOOST_TEST(world.Until([&] { return !callers.back()->answers.empty(); }));
+      BOOST_TEST(callers.back()->answers.at(0).status == 200);
+    }
+  };
+  TestUpstream& leaving = *world.upstreams[1];
+  const std::string kept = leaving.script[0].answer;
+  leaving.script = {
+      {"HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n"
+       "Connection: close\r\nContent-Length: 2\r\n\r\nok",
+       true, 0}};
+  ask(20);
+  world.Run(Millis(1000));
+  ask(20);
+  // Closing answers alone are no sign, and are not asked about again.
+  BOOST_TEST(leaving.probes == 1);
+  size_t before = leaving.seen.size();
+  BOOST_TEST(before > 6U);
+  world.RestartNode(1);  // its gate asks anew
+  world.Publish(1, "1 s 1000 safe 2");
+  BOOST_REQUIRE(world.Until([&] { return world.nodes[1]->peers_up() == 1; }));
+  leaving.health = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+  ask(20);
+  world.Run(Millis(1000));
+  ask(20);
+  world.Run(Millis(50));
+  BOOST_TEST(leaving.probes >= 2);
+  before = leaving.seen.size();
+  ask(20);
+  BOOST_TEST(leaving.seen.size() == before);
+  // It was only ill.
+  leaving.health = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  leaving.script = {{kept, false, 0}};
+  world.Run(Millis(1500));
+  ask(20);
+  BOOST_TEST(leaving.seen.size() > before);
+}
+
 // Failure: an upstream that had left was used for 2.2 s more, because watches
 // that the store had held were taken for an outage.
 BOOST_AUTO_TEST_CASE(held_watches_are_no_outage,
--- a/almondwind/sidecar/testing/world.cc
+++ b/almondwind/sidecar/testing/world.cc
@@ -39,6 +39,9 @@
   metadata.sealed = response.headers.Find("Seal") != nullptr;
   metadata.not_run = response.headers.Find("Not-Run") != nullptr;
   metadata.leaving = response.headers.Find("Leaving") != nullptr;
+  if (const std::string* upstream = response.headers.Find("Upstream")) {
+    metadata.upstream = *upstream;
+  }
   if (const std::string* rate = response.headers.Find("Rate")) {
     metadata.rate = std::stod(*rate);
   }
@@ -65,8 +68,8 @@
   route.target_latency = Millis(timeout_ms);
   route.idempotent = kind == "safe";
   route.destinations = {part};
-  return routes::RouteTable::Build(version, {route}, {{part.service, "", 0}},
-                                   {});
+  return routes::RouteTable::Build(version, {route},
+                                   {{part.service, "/health", 0}}, {});
 }
 
 // ---- Upstream.
@@ -93,6 +96,10 @@
     reader_.Feed(data);
     if (reader_.Next() != http::ReadState::kComplete) return;
     http::Request request = reader_.Take();
+    if (request.target == "/health") {
+      ++upstream_.probes;
+      return stream_->Write(upstream_.health);
+    }
     const std::string* id = request.headers.Find("Id");
     std::string name = id == nullptr ? "" : *id;
     bool crashes = request.target == upstream_.crash_target;
--- a/almondwind/sidecar/testing/world.h
+++ b/almondwind/sidecar/testing/world.h
@@ -84,6 +84,9 @@
   int ended = 0;
   bool stalled = false;        // does not read
   bool answers_early = false;  // answers before the request is complete
+  // Answer to GET /health, which is neither in `script` nor in `seen`.
+  std::string health = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  int probes = 0;  // of that page
   // Requests for this target crash the upstream, which is back after
   // `restart_time`: its connections are reset and new ones refused.
   std::string crash_target;
