Probe an ill upstream again after its entry was restored

Callers would see an upstream that is never used again: its health page had failed for a while, the gate was closed, and its entry was removed and restored meanwhile, as entries are after an outage of the store.

Cause: probes end while the upstream is not listed, and nothing began them again.

Test: an_ill_upstream_that_lapsed_is_used_again, in late_departures; failed before.

--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -121,6 +121,7 @@
     CloseGate("draining");
   } else if (leaving_.leaving()) {
     CloseGate("health");
+    ScheduleProbe();
   } else if (!stopping_ && (restarted || gate_->leaving())) {
     OpenGate(upstream->cold_left > Millis(0));
   }
@@ -199,15 +200,20 @@
               {"leaving", leaving_.leaving()},
               {"listed", listed_}});
   health_timer_.Stop();
-  if (leaving_.leaving()) {
-    health_timer_.Start(leaving_.next_probe() - now,
-                        [this] { ProbeHealthIfDue(); });
-  }
+  if (leaving_.leaving()) ScheduleProbe();
   if (!changed || !listed_ || stopping_) return;
   if (leaving_.leaving()) return CloseGate("health");
   if (!tracker_.current().leaving) OpenGate(/*cold=*/false);
 }
 
+// Also after a time in which the upstream was not listed, and not probed.
+void GateServer::ScheduleProbe() {
+  if (health_timer_.pending()) return;
+  health_timer_.Start(
+      std::max(Millis(0), leaving_.next_probe() - timers_.Now()),
+      [this] { ProbeHealthIfDue(); });
+}
+
 void GateServer::ApplyAnnouncement(const char* source) {
   const machines::Announcement& announced = tracker_.current();
   gate_->SetRate(announced.rate, timers_.Now());
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -209,6 +209,8 @@
   void OnAnswerOf(const GateRun& run, const http::Response& response,
                   const ResponseMetadata& metadata);
   void ProbeHealthIfDue();
+  // Probes the page again when that is due.
+  void ScheduleProbe();
   void OnHealth(base::EndKind kind, const http::Response& response,
                 const ResponseMetadata& metadata);
   // Makes the gate keep what is announced. `source`, for the log: "response" or
--- a/almondwind/sidecar/testing/late_departures_test.cc
+++ b/almondwind/sidecar/testing/late_departures_test.cc
@@ -156,6 +156,35 @@
   BOOST_TEST(leaving.seen.size() > before);
 }
 
+// Failure of the above: an upstream whose health page failed for a while, and
+// whose entry was removed and restored meanwhile, was never used again.
+BOOST_AUTO_TEST_CASE(an_ill_upstream_that_lapsed_is_used_again) {
+  World world(1, 25640);
+  world.Publish(0, "1 s 1000 safe 2");
+  TestUpstream& ill = *world.upstreams[0];
+  const std::string kept = ill.script[0].answer;
+  ill.health = "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+  ill.script = {
+      {"HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n"
+       "Connection: close\r\nContent-Length: 2\r\n\r\nok",
+       true, 0}};
+  auto status = [&world] {
+    auto caller = world.Call(0);
+    caller->Send(Get("r"));
+    BOOST_TEST(world.Until([&] { return !caller->answers.empty(); }));
+    return caller->answers.at(0).status;
+  };
+  BOOST_REQUIRE(world.Until([&] { return status() == 503; }));
+  world.feeds[0]->events->OnUpstreamGone("u0", {1, 3});
+  world.Run(Millis(1600));  // until the next probe would be due
+  ill.health = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  ill.script = {{kept, false, 0}};
+  fleet::Upstream restored = world.List()[0];
+  restored.revision = {1, 4};
+  world.feeds[0]->events->OnUpstream(restored);
+  BOOST_TEST(world.Until([&] { return status() == 200; }, Millis(3000)));
+}
+
 // Failure: an upstream that had left was used for 2.2 s more, because watches
 // that the store had held were taken for an outage.
 BOOST_AUTO_TEST_CASE(held_watches_are_no_outage,
