--- a/review/standins/harness.cc
+++ b/review/standins/harness.cc
@@ -565,7 +565,6 @@
   folder_ = pattern;
   store_ = std::make_unique<Store>(net_ + "1", kStorePort);
   std::string store_address = net_ + "1:" + std::to_string(kStorePort);
-  std::string services;
   for (size_t i = 0; i < machines.size(); ++i) {
     int number = static_cast<int>(i);
     machines_.push_back(
@@ -575,9 +574,13 @@
     store_->Put("servers/" + server.id(), server.Entry(machines[i].zone));
     std::string entry = "\"" + machines[i].service +
                         R"(":{"health-path":"/health","max-connections":580})";
-    if (services.find(entry) != std::string::npos) continue;
-    services += (services.empty() ? "" : ",") + entry;
+    if (services_.find(entry) != std::string::npos) continue;
+    services_ += (services_.empty() ? "" : ",") + entry;
   }
+  PublishRoutes(routes);
+}
+
+void World::PublishRoutes(const std::vector<Route>& routes) {
   std::string table;
   for (const Route& route : routes) {
     table += (table.empty() ? "\"" : ",\"") + route.name + R"(":{"host":")" +
@@ -590,8 +593,8 @@
              std::to_string(route.max_attempts) + "}";
   }
   store_->Put("op/config",
-              "{\"version\":7,\"routes\":{" + table + "},\"services\":{" +
-                  services +
+              "{\"version\":" + std::to_string(++version_) + ",\"routes\":{" +
+                  table + "},\"services\":{" + services_ +
                   R"(},"limits":{"max-header-bytes":16384,)"
                   R"("max-body-bytes":67108864,"header-timeout-ms":3000,)"
                   R"("idle-timeout-ms":15000}})");
--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -235,6 +235,8 @@
   ~World();
   // Starts all sidecars. Returns whether all are ready in time.
   bool Start();
+  // Writes the next version of the configuration to the store.
+  void PublishRoutes(const std::vector<Route>& routes);
   // Waits until all machines are in touch (`stable-ms` after their start).
   void WaitUntilInTouch() const;
   Machine& machine(size_t i) { return *machines_.at(i); }
@@ -244,7 +246,9 @@
 
  private:
   std::string folder_;
-  std::string net_;  // "127.A.B."
+  std::string net_;       // "127.A.B."
+  std::string services_;  // of the configuration, as JSON
+  int version_ = 6;       // of the configuration
   std::unique_ptr<Store> store_;
   std::vector<std::unique_ptr<Machine>> machines_;
 };
