--- a/review/standins/harness.cc
+++ b/review/standins/harness.cc
@@ -418,6 +418,13 @@
   return runs_;
 }
 
+int Server::CountBegan(const std::set<std::string>& ids) const {
+  std::vector<Run> all = runs();
+  return static_cast<int>(
+      std::count_if(all.begin(), all.end(),
+                    [&ids](const Run& run) { return ids.count(run.id) != 0; }));
+}
+
 void Server::Serve(Socket socket) {
   Message request;
   while (socket.ReadMessage(request, 30'000) == ReadEnd::kMessage) {
--- a/review/standins/harness.h
+++ b/review/standins/harness.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 #include <string>
 #include <string_view>
 #include <thread>
@@ -150,6 +151,8 @@
   // Its entry in the store.
   std::string Entry(const std::string& zone);
   std::vector<Run> runs() const;
+  // Returns how many of these requests it began to work on.
+  int CountBegan(const std::set<std::string>& ids) const;
   const std::string& id() const { return id_; }
 
  private:
