http: refuse an answer whose status is not one of HTTP

What callers saw: a server in trouble sent an answer whose status was 000, and the client got it as an answer.

Cause: Boost.Beast's parser takes any three digits as the status of a response, and nothing behind it looked at the number. The gate told successes (2xx) from other answers, and passed all others on as they were.

The reader by itself, without network, took 000, 001, 099, 600 and 999, whole and byte by byte.

Change: ResponseReader refuses a status outside 100 to 599 (RFC 9110, 15) where it reads the start line. All answers that a sidecar reads pass it: those of the upstream, whole, streamed or interim, of its health page, and of the store. Such an exchange ends as one whose outcome is not known: the client gets a 502, or the request is sent once more if it may be.

The other heads and framings that the reader has always refused are now rows of a test too.

--- a/almondwind/http/reader.cc
+++ b/almondwind/http/reader.cc
@@ -28,6 +28,10 @@
   return ReadState::kMalformed;
 }
 
+// Whether `code` is a status of HTTP (RFC 9110, 15). Beast takes any three
+// digits.
+bool IsStatus(int code) { return code >= 100 && code <= 599; }
+
 bool HasOnlyChunkedCoding(const Headers& headers) {
   const std::string* encoding = headers.Find("Transfer-Encoding");
   return encoding == nullptr || (headers.Count("Transfer-Encoding") == 1 &&
@@ -94,8 +98,9 @@
     }
   }
   void on_response_impl(int code, BeastView reason, int version,
-                        error_code&) override {
+                        error_code& ec) override {
     if constexpr (!kRequest) {
+      if (!IsStatus(code)) ec = beast::http::error::bad_status;
       message.status = code;
       message.reason = ToString(reason);
       http10_ = version < 11;
--- a/almondwind/http/testing/reader_test.cc
+++ b/almondwind/http/testing/reader_test.cc
@@ -208,6 +208,82 @@
   }
 }
 
+namespace {
+
+// How a reader ends after all of `bytes` and an orderly close.
+struct AnswerResult {
+  ReadState last = ReadState::kPartial;
+  std::string answer;  // "STATUS BODY" if one was read
+};
+
+AnswerResult ReadToEnd(const std::string& bytes, size_t step) {
+  ResponseReader reader({16u << 10, 1u << 20, 0});
+  AnswerResult result;
+  for (size_t at = 0; at < bytes.size(); at += step) {
+    reader.Feed(bytes.substr(at, step));
+    result.last = reader.Next(false);
+    if (result.last != ReadState::kPartial) break;
+  }
+  if (result.last == ReadState::kPartial) {
+    result.last = reader.FinishAtEof(false);
+  }
+  if (result.last == ReadState::kComplete) {
+    Response r = reader.Take();
+    result.answer = std::to_string(r.status) + " " + r.body;
+  }
+  return result;
+}
+
+}  // namespace
+
+// Failure: an answer with the status 000 was passed on to the client.
+BOOST_AUTO_TEST_CASE(a_status_outside_100_to_599_is_refused) {
+  const std::string rest = " X\r\nContent-Length: 2\r\n\r\nok";
+  for (const char* status : {"000", "001", "099", "600", "999", "20", "2000",
+                             "-20", "+20", "20x", " 200", "0x1", "2 0"}) {
+    std::string bytes = std::string("HTTP/1.1 ") + status + rest;
+    for (size_t step : {bytes.size(), size_t{1}}) {
+      AnswerResult result = ReadToEnd(bytes, step);
+      BOOST_TEST((result.last == ReadState::kMalformed), status);
+      BOOST_TEST(result.answer.empty(), status);
+    }
+  }
+  // Also one that follows an interim answer.
+  BOOST_TEST(
+      (ReadToEnd("HTTP/1.1 100 C\r\n\r\nHTTP/1.1 000" + rest, 1000).last ==
+       ReadState::kMalformed));
+  for (const char* status : {"200", "299", "418", "503", "599"}) {
+    std::string bytes = std::string("HTTP/1.1 ") + status + rest;
+    BOOST_TEST(ReadToEnd(bytes, 1).answer == std::string(status) + " ok");
+  }
+}
+
+// Answers that were refused before the two failures above were found.
+BOOST_AUTO_TEST_CASE(other_heads_and_framings_that_are_no_answer_are_refused) {
+  const std::string heads[] = {
+      "HTTP/1.1 200 OK\r\nX: a\x01\r\nContent-Length: 2\r\n\r\nok",
+      "HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\nok",
+      "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2, 3\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n"
+      "\r\n2\r\nok\r\n0\r\n\r\n",
+      "HTTP/1.2 200 OK\r\nContent-Length: 2\r\n\r\nok",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+      "X Y: 1\r\n\r\n",
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokk\r\n0\r\n"
+      "\r\n",
+  };
+  for (const std::string& bytes : heads) {
+    AnswerResult result = ReadToEnd(bytes, bytes.size());
+    BOOST_TEST((result.last == ReadState::kMalformed), bytes);
+  }
+  // One value, twice, is one length (RFC 9110, 8.6).
+  BOOST_TEST(ReadToEnd("HTTP/1.1 200 OK\r\nContent-Length: 2, 2\r\n\r\nok", 1)
+                 .answer == "200 ok");
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_to_head_has_no_body) {
   ResponseReader reader({});
   reader.Feed("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n");
