http: refuse an answer with a line of its head that begins with a blank

What callers saw: a server in trouble sent an answer in whose head the name of a field held a blank; the client got that line passed on, or a body that was not the server's.

Cause: Boost.Beast's parser joins a line that begins with a blank to the value of the field before it (obs-fold of RFC 9112, 5.2). With " Content- Length: 5" behind another field, the length was lost and the body ran to the end of the connection.

In the reader, without network, five such heads of 21 were taken, whole and byte by byte. Already refused, now rows of the test: a blank or a control byte inside a name, a blank or a tab before the colon, a first field line that begins with a blank, an empty name, a byte of 0x80 or more in a name.

Change: ResponseReader looks for such a line as the head arrives, once over each byte, and refuses the answer (RFC 9112 leaves a proxy the choice between that, with a 502, and joining the lines). Requests are read as before.

--- a/almondwind/http/reader.cc
+++ b/almondwind/http/reader.cc
@@ -38,6 +38,30 @@
                                  EqualNoCase(*encoding, "chunked"));
 }
 
+// Looks for a line of a head that begins with a blank. Beast joins such a line
+// to the value of the field before, while other parsers may take it for a field
+// of its own.
+class FoldedLineDetector {
+ public:
+  // Scans the next bytes of the message.
+  void Scan(std::string_view bytes) {
+    for (char c : bytes) {
+      if (in_body_) return;
+      if (line_start_ && (c == ' ' || c == '\t')) found_ = true;
+      if (line_start_ && c == '\r') in_body_ = true;
+      line_start_ = previous_ == '\r' && c == '\n';
+      previous_ = c;
+    }
+  }
+  bool found() const { return found_; }
+
+ private:
+  char previous_ = '\0';
+  bool line_start_ = false;  // of any line but the first
+  bool in_body_ = false;
+  bool found_ = false;
+};
+
 // Builds one message from the callbacks of Beast's parser.
 template <bool kRequest, typename Message>
 class Collector : public beast::http::basic_parser<kRequest> {
@@ -70,6 +94,10 @@
   // Parses `buffer` and removes the parsed bytes from its front. Returns
   // whether the message is complete.
   bool Parse(std::string& buffer, error_code& ec) {
+    if (!kRequest && !header_done) {
+      folded_lines_.Scan(std::string_view(buffer).substr(scanned_));
+      scanned_ = buffer.size();
+    }
     size_t consumed = 0;
     // is_done() stays false for a body without a length, which ends only with
     // its connection.
@@ -85,6 +113,7 @@
       if (ec) break;
     }
     buffer.erase(0, consumed);
+    scanned_ = buffer.size();
     return !ec && this->is_done();
   }
 
@@ -116,7 +145,8 @@
     header_done = true;
     message.keep_alive = this->keep_alive();
     bool encoded = message.headers.Find("Transfer-Encoding") != nullptr;
-    bool valid = HasOnlyChunkedCoding(message.headers) && !(encoded && http10_);
+    bool valid = HasOnlyChunkedCoding(message.headers) &&
+                 !(encoded && http10_) && !folded_lines_.found();
     if constexpr (kRequest) {
       valid = valid && message.headers.Count("Host") == 1 &&
               !message.target.empty() && message.target[0] == '/';
@@ -146,6 +176,8 @@
  private:
   bool http10_ = false;
   std::optional<uint64_t> content_length_;
+  FoldedLineDetector folded_lines_;
+  size_t scanned_ = 0;  // bytes at the front of the buffer
 };
 
 }  // namespace
--- a/almondwind/http/reader.h
+++ b/almondwind/http/reader.h
@@ -5,6 +5,8 @@
 // another parser could interpret differently (request smuggling): a
 // Transfer-Encoding other than "chunked", a Transfer-Encoding in HTTP/1.0, a
 // missing or repeated Host, and a request target that does not start with '/'.
+// Of a response it refuses a status outside 100 to 599 and a head with a line
+// that begins with a blank.
 //
 //   reader.Feed(bytes);
 //   while (reader.Next() == ReadState::kComplete) Use(reader.Take());
--- a/almondwind/http/testing/reader_test.cc
+++ b/almondwind/http/testing/reader_test.cc
@@ -258,6 +258,47 @@
   }
 }
 
+// Failure: an answer whose head held a blank or a control byte in the name of a
+// field was passed on, with that line or with a body that was not the server's:
+// a length on a line that began with a blank was joined to the field before.
+BOOST_AUTO_TEST_CASE(a_field_name_with_a_blank_or_control_byte_is_refused) {
+  const std::string lines[] = {
+      "X: 1\r\n Content-Length: 2",
+      "X: 1\r\n\tContent-Length: 2",
+      "X: 1\r\n Y: 2\r\nContent-Length: 2",
+      "Content-Length: 2\r\n X: 1",
+      "X:\r\n 1\r\nContent-Length: 2",
+      "X: 1\r\n \r\nContent-Length: 2",
+      " Content-Length: 2",
+      "\tContent-Length: 2",
+      "Content-Length : 2",
+      "Content-Length\t: 2",
+      "Content Length: 2",
+      "Content\tLength: 2",
+      "X Y: 1\r\nContent-Length: 2",
+      std::string("X\0Y: 1\r\nContent-Length: 2", 25),
+      "X\x01Y: 1\r\nContent-Length: 2",
+      "X\x7fY: 1\r\nContent-Length: 2",
+      "X\xe9Y: 1\r\nContent-Length: 2",
+      "X\rY: 1\r\nContent-Length: 2",
+      "X\nY: 1\r\nContent-Length: 2",
+      ": 1\r\nContent-Length: 2",
+      "X\r\nContent-Length: 2",
+  };
+  for (const std::string& line : lines) {
+    std::string bytes = "HTTP/1.1 200 OK\r\n" + line + "\r\n\r\nok";
+    for (size_t step : {bytes.size(), size_t{1}}) {
+      AnswerResult result = ReadToEnd(bytes, step);
+      BOOST_TEST((result.last == ReadState::kMalformed), line);
+      BOOST_TEST(result.answer.empty(), line);
+    }
+  }
+  BOOST_TEST(ReadToEnd("HTTP/1.1 200 OK\r\nX-1: a b\t c\r\nY:\r\nZ: \r\n"
+                       "Content-Length: 2\r\n\r\nok",
+                       1)
+                 .answer == "200 ok");
+}
+
 // Answers that were refused before the two failures above were found.
 BOOST_AUTO_TEST_CASE(other_heads_and_framings_that_are_no_answer_are_refused) {
   const std::string heads[] = {
