links: read answers with the reader that the sidecar has

What callers of `almondwind node` could get: an answer with the status 000, or with a line of its head that begins with a blank; an interim answer (100, 103) as the final one; bytes that a server had sent behind an earlier answer, as the answer to the next request on that connection. A server that sent the extension of a chunk, or a trailer, without end made the client keep all of it: 16.8 MB after a second, and growing.

Cause: links::HttpClient parsed answers with Beast's response_parser alone, so none of the checks of http::ResponseReader held there, and bytes that remained in its buffer were the beginning of the next answer.

Held before and now rows of the tests: a blank or control byte in a name, an answer without a length that is reset, also during a long upload, and start lines, heads, bodies and chunks without end.

Change: HttpClient feeds what it reads to an http::ResponseReader, and does not reuse a connection on which bytes followed an answer. An answer that cannot be read ends its exchange as kUnusable; its outcome is not known, and the caller gets a 502 as for kClosed.

Tests: http_client, http_client_assert.

--- a/almondwind/links/http_client.cc
+++ b/almondwind/links/http_client.cc
@@ -2,12 +2,14 @@
 
 #include <sys/socket.h>
 
+#include <array>
 #include <boost/asio/defer.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <optional>
+
+#include "almondwind/http/reader.h"
 
 namespace almondwind::links {
 
@@ -18,7 +20,27 @@
 using beast::error_code;
 
 namespace {
+
 constexpr size_t kReadBytes = 8192;
+
+almondwind::http::ReaderOptions ReaderOptionsFrom(
+    const HttpClientOptions& options) {
+  almondwind::http::ReaderOptions out;
+  out.max_body_bytes = options.answer_bytes;
+  return out;
+}
+
+HttpResponse ToBeast(almondwind::http::Response response) {
+  HttpResponse out;
+  out.result(static_cast<unsigned>(response.status));
+  out.reason(response.reason);
+  for (const almondwind::http::Header& field : response.headers.fields()) {
+    out.insert(field.name, field.value);
+  }
+  out.body() = std::move(response.body);
+  return out;
+}
+
 }  // namespace
 
 // A connection, which carries one exchange at a time.
@@ -27,11 +49,9 @@
   HttpConnection(HttpClient& client, const HttpClient::Endpoint& endpoint)
       : client_(client),
         endpoint_(endpoint),
-        stream_(net::make_strand(client.io_)) {
+        stream_(net::make_strand(client.io_)),
+        reader_(ReaderOptionsFrom(client.options_)) {
     ++client_.open_;
-    // Beast reads at most the buffer's free capacity at a time, or 512 bytes if
-    // nothing is reserved.
-    buffer_.reserve(kReadBytes);
   }
   ~HttpConnection() { --client_.open_; }
 
@@ -47,7 +67,7 @@
   void Connect();
   void Write();
   void Read();
-  void ReadBody();
+  void OnRead(error_code ec, size_t size);
   void OnResponse();
   void Fail(EndKind kind);
 
@@ -62,8 +82,8 @@
   uint64_t current_id_ = 0;
   HttpRequest request_;
   HttpHandler handler_;
-  beast::flat_buffer buffer_;
-  std::optional<http::response_parser<http::string_body>> parser_;
+  std::array<char, kReadBytes> buffer_{};
+  almondwind::http::ResponseReader reader_;
 };
 
 namespace {
@@ -124,48 +144,42 @@
 
 void HttpConnection::Read() {
   auto self = shared_from_this();
-  parser_.emplace();
-  parser_->body_limit(client_.options_.answer_bytes);
-  if (request_.method() == http::verb::head) parser_->skip(true);
-  // Reads the header separately: Beast 1.74 ignores the body limit if a
-  // response with a Content-Length is parsed in a single operation.
-  http::async_read_header(
-      stream_, buffer_, *parser_, [self](error_code ec, size_t) {
-        if (ec == http::error::body_limit) {
-          return self->Fail(EndKind::kTooLarge);
-        }
-        if (ec) return self->Fail(EndKind::kClosed);
-        // The length is known only once the header has been parsed.
-        auto content_length = self->parser_->content_length();
-        size_t limit = self->client_.options_.answer_bytes;
-        if (content_length.has_value() && *content_length > limit) {
-          return self->Fail(EndKind::kTooLarge);
-        }
-        self->ReadBody();
-      });
+  stream_.async_read_some(
+      net::buffer(buffer_),
+      [self](error_code ec, size_t size) { self->OnRead(ec, size); });
 }
 
-void HttpConnection::ReadBody() {
-  auto self = shared_from_this();
-  http::async_read(stream_, buffer_, *parser_, [self](error_code ec, size_t) {
-    if (ec == http::error::body_limit) {
-      return self->Fail(EndKind::kTooLarge);
-    }
-    if (ec) return self->Fail(EndKind::kClosed);
-    self->OnResponse();
-  });
+void HttpConnection::OnRead(error_code ec, size_t size) {
+  using almondwind::http::ReadState;
+  bool ended = ec == net::error::eof;
+  if (ec && !ended) return Fail(EndKind::kClosed);
+  reader_.Feed({buffer_.data(), size});
+  bool to_head = request_.method() == http::verb::head;
+  switch (ended ? reader_.FinishAtEof(to_head) : reader_.Next(to_head)) {
+    case ReadState::kComplete:
+      return OnResponse();
+    case ReadState::kPartial:
+      return ended ? Fail(EndKind::kClosed) : Read();
+    case ReadState::kHeaderTooLarge:
+    case ReadState::kBodyTooLarge:
+      return Fail(EndKind::kTooLarge);
+    case ReadState::kMalformed:
+    case ReadState::kBodyFollows:  // not without a streaming threshold
+      return Fail(ended ? EndKind::kClosed : EndKind::kUnusable);
+  }
 }
 
 void HttpConnection::OnResponse() {
+  almondwind::http::Response response = reader_.Take();
+  // Bytes behind the answer belong to no request.
+  bool reusable = response.keep_alive && !reader_.in_message();
   HttpResult result;
   result.kind = EndKind::kAnswer;
-  bool keep_alive = parser_->get().keep_alive();
-  result.response = parser_->release();
-  parser_.reset();
+  result.response = ToBeast(std::move(response));
   current_id_ = 0;
   HttpHandler handler = std::move(handler_);
   // Released first, so that a request sent by the handler can reuse it.
-  if (keep_alive) client_.ReleaseConnection(shared_from_this());
+  if (reusable) client_.ReleaseConnection(shared_from_this());
   handler(std::move(result));
 }
 
--- a/almondwind/links/http_client.h
+++ b/almondwind/links/http_client.h
@@ -1,4 +1,5 @@
-// HTTP client, over Boost.Beast, that never sends a request twice.
+// HTTP client, over Boost.Beast, that never sends a request twice. Answers are
+// read by http::ResponseReader, with its checks.
 //
 // Before an idle connection is reused, the client checks whether the server has
 // closed it. If a connection closes after the request was written, the exchange
@@ -10,8 +11,9 @@
 //   exchange->Cancel();   // closes its connection; the handler is not called
 //
 // Bounds: HttpClientOptions::connections open connections in total, beyond
-// which an exchange ends with kUnreachable; an answer larger than
-// HttpClientOptions::answer_bytes ends it with kTooLarge.
+// which an exchange ends with kUnreachable; an answer with a body larger than
+// HttpClientOptions::answer_bytes, or a head larger than 16 KB, ends it with
+// kTooLarge.
 //
 // Threads: thread-safe. The handler is called on a worker, with no lock held.
 // mutex_ guards the idle connections; no other lock is taken while it is held.
