node: bound what is read of health pages and of the platform

Report of other operators: a faulty server sent bytes that were no answer, without end, in a head or in a body; the machine that had called it kept them all and ran out of memory.

It could happen in `almondwind node`: the poll of the upstream's health page and the client of the platform read with cpprestsdk's client, which keeps the whole answer, has no limit for a head or a body, and counts its timeout from the last bytes.

Change: links::Fetch, a GET over links::HttpClient, with a bound for the time of the whole exchange and one for the body (64 KB of a health page, 16 MB of an answer of the platform). An answer beyond them counts as none, as a failed read did before.

--- a/almondwind/links/testing/http_client_test.cc
+++ b/almondwind/links/testing/http_client_test.cc
@@ -4,8 +4,6 @@
 #define BOOST_TEST_MODULE http_client
 #include "almondwind/links/http_client.h"
 
-#include <malloc.h>
-
 #include <algorithm>
 #include <boost/beast/http.hpp>
 #include <boost/test/unit_test.hpp>
@@ -14,6 +12,7 @@
 
 #include "almondwind/links/mesh.h"
 #include "almondwind/loop/endpoint.h"
+#include "almondwind/loop/testing/heap.h"
 #include "almondwind/loop/testing/raw_server.h"
 #include "almondwind/standins/http_server.h"
 
@@ -112,7 +111,7 @@
     auto end = std::chrono::steady_clock::now() + limit;
     while (!result && std::chrono::steady_clock::now() < end) {
       io.run_one_for(std::chrono::milliseconds(20));
-      peak_bytes = std::max<size_t>(peak_bytes, mallinfo2().uordblks);
+      peak_bytes = std::max(peak_bytes, loop::testing::HeapBytes());
     }
     if (!result) exchange->Cancel();
     io.poll();
@@ -223,7 +222,7 @@
     RawExchange raw;
     raw.server.answer = {row.bytes, loop::testing::RawEnd::kEndless,
                          row.endless};
-    size_t before = mallinfo2().uordblks;
+    size_t before = loop::testing::HeapBytes();
     auto result = raw.Exchange(kExchangeLimit);
     size_t grown = raw.peak_bytes - std::min(raw.peak_bytes, before);
     BOOST_TEST(result.has_value(), row.what);
--- a/almondwind/node/health_poll.cc
+++ b/almondwind/node/health_poll.cc
@@ -1,15 +1,10 @@
 #include "almondwind/node/health_poll.h"
 
-#include <cpprest/http_client.h>
-
+#include "almondwind/links/fetch.h"
 #include "almondwind/node/node.h"
 
 namespace almondwind::node {
 
-namespace {
-constexpr std::chrono::milliseconds kRequestTimeout{1000};
-}  // namespace
-
 HealthPoll::HealthPoll(HealthPollOptions options)
     : options_(std::move(options)) {}
 
@@ -41,18 +36,19 @@
 }
 
 void HealthPoll::PollOnce(Node& node) {
+  links::FetchOptions options;
+  options.address = options_.address;
+  options.target = options_.path;
+  std::optional<links::HttpResponse> page;
   try {
-    web::http::client::http_client_config config;
-    config.set_timeout(kRequestTimeout);
-    web::http::client::http_client client("http://" + options_.address, config);
-    auto response =
-        client.request(web::http::methods::GET, options_.path).get();
-    std::string text = response.extract_utf8string(true).get();
-    bool draining = text.find("draining") != std::string::npos;
-    node.SetLeaving(LeaveCause::kUpstream, draining);
+    page = links::Fetch(options);
   } catch (const std::exception&) {
-    // A failed poll is ignored; the gate detects failures from requests.
+    // As a failed poll, which is ignored; the gate detects failures from
+    // requests.
   }
+  if (!page) return;
+  bool draining = page->body().find("draining") != std::string::npos;
+  node.SetLeaving(LeaveCause::kUpstream, draining);
 }
 
 }  // namespace almondwind::node
--- a/almondwind/node/health_poll.h
+++ b/almondwind/node/health_poll.h
@@ -2,8 +2,8 @@
 //
 // Health endpoints lag behind and can be wrong, so only the presence or absence
 // of the word "draining" is used; a report of being healthy or unhealthy is
-// ignored. Runs on its own thread and makes one request per interval with
-// cpprestsdk.
+// ignored. Runs on its own thread and makes one request per interval, bounded
+// as links::Fetch is.
 #ifndef ALMONDWIND_NODE_HEALTH_POLL_H_
 #define ALMONDWIND_NODE_HEALTH_POLL_H_
 
--- a/almondwind/node/platform_client.cc
+++ b/almondwind/node/platform_client.cc
@@ -1,6 +1,5 @@
 #include "almondwind/node/platform_client.h"
 
-#include <cpprest/http_client.h>
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -8,12 +7,19 @@
 #include <random>
 #include <vector>
 
+#include "almondwind/links/fetch.h"
 #include "almondwind/node/node.h"
 
 namespace almondwind::node {
 
 using base::Millis;
 
+namespace {
+// Values are up to a megabyte each; a node holds an answer's text and values
+// for a moment within the 128 MB that control may use.
+constexpr size_t kMaxAnswerBytes = 16u << 20;
+}  // namespace
+
 PlatformClient::PlatformClient(PlatformClientOptions options)
     : options_(std::move(options)) {}
 
@@ -60,16 +66,15 @@
 
 bool PlatformClient::Read(Node& node) {
   try {
-    web::http::client::http_client_config config;
-    config.set_timeout(
-        std::chrono::milliseconds(options_.watch_wait.count() * 3));
-    web::http::client::http_client client("http://" + options_.address, config);
-    std::string target = fmt::format("/v1/watch?since={}&wait_ms={}", revision_,
-                                     options_.watch_wait.count());
-    web::http::http_response response =
-        client.request(web::http::methods::GET, target).get();
-    if (response.status_code() != web::http::status_codes::OK) return false;
-    auto document = nlohmann::json::parse(response.extract_utf8string().get());
+    links::FetchOptions options;
+    options.address = options_.address;
+    options.target = fmt::format("/v1/watch?since={}&wait_ms={}", revision_,
+                                 options_.watch_wait.count());
+    options.timeout = options_.watch_wait * 3;
+    options.max_body_bytes = kMaxAnswerBytes;
+    std::optional<links::HttpResponse> response = links::Fetch(options);
+    if (!response || response->result_int() != 200) return false;
+    auto document = nlohmann::json::parse(response->body());
     std::vector<teams::Value> values;
     for (const auto& item : document.at("values")) {
       values.push_back({item.at("path"), item.at("version"), item.at("text")});
--- a/almondwind/sidecar/testing/faults_test.cc
+++ b/almondwind/sidecar/testing/faults_test.cc
@@ -3,11 +3,10 @@
 // input that must not end the process.
 
 #define BOOST_TEST_MODULE sidecar_faults
-#include <malloc.h>
-
 #include <boost/test/unit_test.hpp>
 #include <nlohmann/json.hpp>
 
+#include "almondwind/loop/testing/heap.h"
 #include "almondwind/sidecar/testing/world.h"
 
 namespace almondwind::sidecar::testing {
@@ -119,14 +118,14 @@
     TestUpstream& upstream = *world.upstreams[0];
     auto normal = upstream.script.front();
     upstream.script = {{row.answer, false, 0, row.endless}, normal};
-    size_t before = mallinfo2().uordblks;
+    size_t before = loop::testing::HeapBytes();
     size_t most = 0;
     auto caller = world.Call(0);
     caller->keep_bytes = 256u << 10;  // so that only the node's memory grows
     caller->Send(Get("a"));
     BOOST_TEST(world.Until(
                    [&] {
-                     most = std::max<size_t>(most, mallinfo2().uordblks);
+                     most = std::max(most, loop::testing::HeapBytes());
                      return upstream.ended == 1 && world.nodes[0]->calls() == 0;
                    },
                    Millis(1500)),
