sidecar: refuse what comes too late in a planned stop to be finished

Report of other operators: in a planned stop of one sidecar machine, in calm, requests that came late in the grace were taken and passed on; at the end of the grace they were cut with no answer, among them requests that may not be repeated.

It could happen here: a request whose last byte comes late on a connection that was in use is read whole late in the stop, and nothing compared the time that it may take with the time that is left.

Change: in the second half of a stop, requests are passed on only if their own deadline comes before its end, so that they end in time whatever happens. The others get a 503, which says truly that they have not run, with the rest of the stop as Retry-After; the same goes for a request that a gate has refused and that would be tried at another. In the first half all are passed on as before: with a whole half left, hardly any is cut, and refusing them would turn away work that is almost always finished. The length of a stop is fixed as it begins; a change of the grace period in it no longer moves it.

--- a/almondwind/sidecar/dispatcher.cc
+++ b/almondwind/sidecar/dispatcher.cc
@@ -100,6 +100,7 @@
   Millis caller_timeout =
       call.metadata.timeout.value_or(options_.default_timeout);
   call.deadline = call.arrived + std::min(caller_timeout, call.route->timeout);
+  if (RefuseForStop(call)) return;
   call.service = splitter_.Choose(*call.route).service;
   budget_.OnRequest(call.service, call.arrived);
   AdmissionDecision decision = admission_.Admit(
@@ -117,6 +118,13 @@
   Try(call);
 }
 
+bool Dispatcher::RefuseForStop(EntryCall& call) {
+  Millis now = timers_.Now();
+  if (stop_.Admits(now, call.deadline)) return false;
+  Refuse(call, Reason::kLeaving, stop_.end() - now);
+  return true;
+}
+
 bool Dispatcher::RefuseForCrashes(EntryCall& call) {
   if (history_.empty()) return false;
   const http::Request& request = call.request;
@@ -309,6 +317,7 @@
   if (reason == Reason::kCrashesUpstreams) {
     return FinishCrashing(call, Millis(answer.retry_after_ms));
   }
+  if (RefuseForStop(call)) return;
   bool retry =
       call.refusals < options_.max_gates && reason != Reason::kDeadline;
   if (answer.arrived) {
--- a/almondwind/sidecar/dispatcher.h
+++ b/almondwind/sidecar/dispatcher.h
@@ -11,6 +11,9 @@
 // the route's timeout or the caller's timeout expires, the attempt in flight is
 // cancelled and the caller gets a 504 without waiting for it.
 //
+// While the node stops, requests that may not end before it does are refused
+// (stop_window.h).
+//
 // A request that has crashed several upstreams is refused (crashes/history.h).
 // One under which DispatcherOptions::max_ended_upstreams upstreams have ended
 // is not retried: it may be what ended them. Most requests that were in
@@ -47,6 +50,7 @@
 #include "almondwind/sidecar/event_log.h"
 #include "almondwind/sidecar/gate_server.h"
 #include "almondwind/sidecar/metrics.h"
+#include "almondwind/sidecar/stop_window.h"
 #include "almondwind/zones/directory.h"
 #include "almondwind/zones/picker.h"
 
@@ -185,6 +189,9 @@
     return known != nullptr && known->leaving;
   }
 
+  // The node stops, and ends after `length` at the latest.
+  void BeginStop(base::Millis length) { stop_.Begin(timers_.Now(), length); }
+
   size_t in_progress() const { return calls_.size(); }
   // Builds a response that this node generates itself.
   http::Response LocalResponse(int status, base::Reason reason,
@@ -217,6 +224,9 @@
   bool ReserveRetry(EntryCall& call);
   bool FailsMoreThanOthers(const EntryCall& call);
   void Refuse(EntryCall& call, base::Reason reason, base::Millis retry_after);
+  // Refuses a request that may not end before this node stops. Returns whether
+  // it did.
+  bool RefuseForStop(EntryCall& call);
   void FinishCrashing(EntryCall& call, base::Millis refused_for);
   void Finish(EntryCall& call, http::Response response, const std::string& why);
   EntryCallPtr Remove(EntryCall& call, int status, const std::string& why);
@@ -239,6 +249,7 @@
   zones::Directory directory_;
   machines::AnnouncementMemory announcements_;
   std::unique_ptr<zones::Picker> picker_;
+  StopWindow stop_;
   zones::Random random_;
   std::unordered_map<uint64_t, EntryCallPtr> calls_;
   std::unordered_map<uint64_t, uint64_t> attempts_;  // attempt id to call id
--- a/almondwind/sidecar/node.cc
+++ b/almondwind/sidecar/node.cc
@@ -458,6 +458,8 @@
   stopping_ = true;
   stop_began_ = timers_.Now();
   stop_done_ = std::move(done);
+  stop_length_ = settings_.stop_grace - kExitMargin;
+  dispatcher_.BeginStop(stop_length_);
   log_.Write("stop_begins", {{"entries", dispatcher_.in_progress()},
                              {"runs", gate_.in_progress()}});
   gate_.Leave();
@@ -474,7 +476,7 @@
   }
   bool idle = gate_.idle() && dispatcher_.in_progress() == 0 &&
               callers_.connections() == 0;
-  bool overdue = elapsed >= settings_.stop_grace - kExitMargin;
+  bool overdue = elapsed >= stop_length_;
   if ((elapsed >= kMinShutdownTime && idle) || overdue) {
     log_.Write("stopped", {{"whole", idle}, {"took_ms", elapsed.count()}});
     documents_.Stop();
--- a/almondwind/sidecar/node.h
+++ b/almondwind/sidecar/node.h
@@ -129,6 +129,7 @@
   // Time of the last detailed report, by other zone.
   std::map<std::string, base::Millis> detailed_report_at_;
   base::Millis stop_began_{0};
+  base::Millis stop_length_{0};
   std::function<void(bool)> stop_done_;
 };
 
