--- a/almondwind/sidecar/testing/stop_test.cc
+++ b/almondwind/sidecar/testing/stop_test.cc
@@ -72,9 +72,10 @@
     caller.Send(OrderHead(orders[i].what, orders[i].timeout_ms, 1));
   }
   for (auto& upstream : world.upstreams) {
-    upstream->script = {{"HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n"
-                         "Content-Length: 4\r\n\r\ndone",
-                         false, kWorkMs}};
+    upstream->script = {
+        {"HTTP/1.1 200 OK\r\nId: {id}\r\nSeal: s\r\n"
+         "Content-Length: 4\r\n\r\ndone",
+         false, kWorkMs}};
   }
   world.Run(Millis(100));
   int code = -1;
