sidecar: log answers of upstreams that cannot be read

A request whose upstream sent something that is no answer ended, in the logs, as one whose upstream closed the connection. The gate now writes a line `unusable_answer` with the request's id, route, target and upstream, at most 30 a second like all kinds of lines, so that an operator can tell a server that sends broken answers from one that loses connections.

--- a/almondwind/sidecar/gate_server.cc
+++ b/almondwind/sidecar/gate_server.cc
@@ -347,6 +347,7 @@
   GateRun& gate_run = it->second;
   machines::RunPtr run = gate_run.run;
   if (kind == EndKind::kAnswer) OnAnswerOf(gate_run, response, metadata);
+  if (kind == EndKind::kUnusable) LogUnusableAnswer(gate_run);
   Millis now = timers_.Now();
   peers::Answer answer = AnswerFor(kind, std::move(response), metadata);
   if (answer.outcome == static_cast<uint8_t>(Outcome::kAnswered)) {
@@ -514,6 +515,16 @@
               {"time_left_ms", run.call.time_left_ms}});
 }
 
+void GateServer::LogUnusableAnswer(const GateRun& run) const {
+  if (!log_.ShouldLog("unusable_answer")) return;
+  log_.Write("unusable_answer",
+             {{"id", dialect_.ReadCaller(run.call.headers).request_id},
+              {"route", run.call.route},
+              {"target", run.call.target},
+              {"upstream", run.call.upstream},
+              {"took_ms", (timers_.Now() - run.run->started).count()}});
+}
+
 void GateServer::Cancel(const CallKey& key) {
   auto it = by_key_.find(key);
   if (it == by_key_.end()) return;
--- a/almondwind/sidecar/gate_server.h
+++ b/almondwind/sidecar/gate_server.h
@@ -202,6 +202,8 @@
   void Tick();
   http::Request UpstreamRequest(const GateRun& run, base::Millis left) const;
   void LogEnd(const GateRun& run, const peers::Answer& answer) const;
+  // What the upstream sent is no answer in the protocol, or not to this run.
+  void LogUnusableAnswer(const GateRun& run) const;
   // Whether a response is of the known upstream.
   bool IsOwn(const GateRun& run, const ResponseMetadata& metadata) const;
   void OnAnnouncement(const GateRun& run, const ResponseMetadata& metadata);
--- a/almondwind/sidecar/upstream_pool.h
+++ b/almondwind/sidecar/upstream_pool.h
@@ -15,6 +15,9 @@
 // response without an id is accepted only as the first one of a connection,
 // where no earlier request can have caused it.
 //
+// A response without a length is complete when the upstream has closed the
+// connection in order. After a reset it is not, nor after a write that failed.
+//
 // An upstream in trouble may send bytes without end. They are bounded in every
 // part of a response: the head by UpstreamPoolOptions::header_bytes, interim
 // responses by their number (http/reader.h), a body by the credit of its reader
