--- a/almondwind/http/reader.cc
+++ b/almondwind/http/reader.cc
@@ -38,17 +38,17 @@
                                  EqualNoCase(*encoding, "chunked"));
 }
 
-// Looks for a line of a head that begins with a blank. Beast joins such a line
-// to the value of the field before, while other parsers may take it for a field
-// of its own.
+// Looks for a line of a head that begins with a space or a tab (obs-fold in RFC
+// 9112, 5.2). Beast joins such a line to the value of the field before, while
+// other parsers may take it for a field of its own.
 class FoldedLineDetector {
  public:
-  // Scans the next bytes of the message.
+  // Scans the next bytes of the message; those after its head are ignored.
   void Scan(std::string_view bytes) {
     for (char c : bytes) {
-      if (in_body_) return;
+      if (head_ended_) return;
       if (line_start_ && (c == ' ' || c == '\t')) found_ = true;
-      if (line_start_ && c == '\r') in_body_ = true;
+      if (line_start_ && c == '\r') head_ended_ = true;
       line_start_ = previous_ == '\r' && c == '\n';
       previous_ = c;
     }
@@ -58,7 +58,7 @@
  private:
   char previous_ = '\0';
   bool line_start_ = false;  // of any line but the first
-  bool in_body_ = false;
+  bool head_ended_ = false;
   bool found_ = false;
 };
 
@@ -177,7 +177,7 @@
   bool http10_ = false;
   std::optional<uint64_t> content_length_;
   FoldedLineDetector folded_lines_;
-  size_t scanned_ = 0;  // bytes at the front of the buffer
+  size_t scanned_ = 0;  // bytes at the front of the buffer, by folded_lines_
 };
 
 }  // namespace
--- a/almondwind/node/health_poll.cc
+++ b/almondwind/node/health_poll.cc
@@ -43,8 +43,7 @@
   try {
     page = links::Fetch(options);
   } catch (const std::exception&) {
-    // As a failed poll, which is ignored; the gate detects failures from
-    // requests.
+    // A failed poll is ignored; the gate detects failures from requests.
   }
   if (!page) return;
   bool draining = page->body().find("draining") != std::string::npos;
