--- a/almondwind/http/testing/reader_test.cc
+++ b/almondwind/http/testing/reader_test.cc
@@ -301,22 +301,22 @@
 
 // Answers that were refused before the two failures above were found.
 BOOST_AUTO_TEST_CASE(other_heads_and_framings_that_are_no_answer_are_refused) {
-  const std::string heads[] = {
-      "HTTP/1.1 200 OK\r\nX: a\x01\r\nContent-Length: 2\r\n\r\nok",
-      "HTTP/1.1 200 O\x01K\r\nContent-Length: 2\r\n\r\nok",
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  const std::string length = "Content-Length: 2\r\n";
+  const std::string chunked = "Transfer-Encoding: chunked\r\n";
+  const std::string answers[] = {
+      ok + "X: a\x01\r\n" + length + "\r\nok",
+      "HTTP/1.1 200 O\x01K\r\n" + length + "\r\nok",
       "HTTP/1.1 200 OK\nContent-Length: 2\n\nok",
-      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
-      "HTTP/1.1 200 OK\r\nContent-Length: 2, 3\r\n\r\nok",
-      "HTTP/1.1 200 OK\r\nContent-Length: +2\r\n\r\nok",
-      "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nTransfer-Encoding: chunked\r\n"
-      "\r\n2\r\nok\r\n0\r\n\r\n",
-      "HTTP/1.2 200 OK\r\nContent-Length: 2\r\n\r\nok",
-      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
-      "X Y: 1\r\n\r\n",
-      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nokk\r\n0\r\n"
-      "\r\n",
+      ok + length + "Content-Length: 3\r\n\r\nok",
+      ok + "Content-Length: 2, 3\r\n\r\nok",
+      ok + "Content-Length: +2\r\n\r\nok",
+      ok + length + chunked + "\r\n2\r\nok\r\n0\r\n\r\n",
+      "HTTP/1.2 200 OK\r\n" + length + "\r\nok",
+      ok + chunked + "\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n",
+      ok + chunked + "\r\n2\r\nokk\r\n0\r\n\r\n",
   };
-  for (const std::string& bytes : heads) {
+  for (const std::string& bytes : answers) {
     AnswerResult result = ReadToEnd(bytes, bytes.size());
     BOOST_TEST((result.last == ReadState::kMalformed), bytes);
   }
